--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole system on one machine."""
--- /dev/null
+++ b/verbenagrade/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The programs of the project."""
--- /dev/null
+++ b/verbenagrade/commands/control.py
@@ -0,0 +1,62 @@
+"""``verbenagrade-control``: serves operators."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import aiohttp
+import typer
+from aiohttp import web
+
+from verbenagrade.events import Event, log_event, set_up_logging
+from verbenagrade.exceptions import SettingsError
+from verbenagrade.settings import ControlSettings, load_settings
+from verbenagrade.transport.operators import OperatorsSide
+from verbenagrade.transport.platform import (
+    object_store_port,
+    table_port,
+    vm_list_port,
+)
+
+__all__ = ["app", "main"]
+
+EXIT_SETTINGS = 2
+
+app = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@app.command()
+def main(settings: Path) -> None:
+    """Serves operators until SIGTERM."""
+    try:
+        loaded = load_settings(settings, ControlSettings)
+    except SettingsError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(EXIT_SETTINGS) from error
+    set_up_logging(loaded.log_level, loaded.vm)
+    asyncio.run(_run(loaded))
+
+
+async def _run(settings: ControlSettings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with aiohttp.ClientSession() as session:
+        platform = settings.platform
+        side = OperatorsSide(
+            table_port(session, platform),
+            object_store_port(session, platform),
+            vm_list_port(session, platform),
+        )
+        runner = web.AppRunner(side.application(), access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, settings.address, settings.port).start()
+        log_event(Event.PROCESS_STARTED, instance=settings.vm)
+        await stop.wait()
+        log_event(Event.PROCESS_STOPPING, instance=settings.vm)
+        await runner.cleanup()
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/verbenagrade/coordination/__init__.py
@@ -0,0 +1,139 @@
+"""How instances act together through the platform and with each other."""
+
+from verbenagrade.coordination.claims import (
+    Claim,
+    ClaimState,
+    claim_key,
+    finish_claim,
+    take_claim,
+    withdraw_claim,
+)
+from verbenagrade.coordination.codec import (
+    decode_row,
+    encode_row,
+)
+from verbenagrade.coordination.commits import (
+    Step,
+    commit,
+)
+from verbenagrade.coordination.configuration import (
+    Declaration,
+    Head,
+    apply_resource,
+    changes_after,
+    decode_spec,
+    list_resources,
+    read_head,
+    read_resource,
+)
+from verbenagrade.coordination.confirmations import (
+    Confirmation,
+    ConfirmationRow,
+    missing_confirmations,
+    read_confirmations,
+    report_confirmations,
+    reporter_of,
+)
+from verbenagrade.coordination.desk import (
+    Admission,
+    Ask,
+    Desk,
+    Used,
+)
+from verbenagrade.coordination.heartbeats import (
+    Heartbeats,
+)
+from verbenagrade.coordination.holder import (
+    Holder,
+    HolderLimits,
+)
+from verbenagrade.coordination.instance import (
+    FleetInstance,
+)
+from verbenagrade.coordination.journal import (
+    Journal,
+)
+from verbenagrade.coordination.ledger import (
+    bills_of_workspace,
+    journal_batches,
+    total_tokens,
+)
+from verbenagrade.coordination.ports import (
+    Check,
+    Clock,
+    ObjectStore,
+    Row,
+    Table,
+    VmEntry,
+    VmList,
+    Write,
+)
+from verbenagrade.coordination.refresh import (
+    refresh_catalogue,
+    refresh_members,
+)
+from verbenagrade.coordination.spender import (
+    Call,
+    Spender,
+    SpenderLimits,
+)
+from verbenagrade.coordination.treasury import (
+    adjust_grant,
+    budget_key,
+    read_budget,
+)
+
+__all__ = [
+    "Admission",
+    "Ask",
+    "Call",
+    "Check",
+    "Claim",
+    "ClaimState",
+    "Clock",
+    "Confirmation",
+    "ConfirmationRow",
+    "Declaration",
+    "Desk",
+    "FleetInstance",
+    "Head",
+    "Heartbeats",
+    "Holder",
+    "HolderLimits",
+    "Journal",
+    "ObjectStore",
+    "Row",
+    "Spender",
+    "SpenderLimits",
+    "Step",
+    "Table",
+    "Used",
+    "VmEntry",
+    "VmList",
+    "Write",
+    "adjust_grant",
+    "apply_resource",
+    "bills_of_workspace",
+    "budget_key",
+    "changes_after",
+    "claim_key",
+    "commit",
+    "decode_row",
+    "decode_spec",
+    "encode_row",
+    "finish_claim",
+    "journal_batches",
+    "list_resources",
+    "missing_confirmations",
+    "read_budget",
+    "read_confirmations",
+    "read_head",
+    "read_resource",
+    "refresh_catalogue",
+    "refresh_members",
+    "report_confirmations",
+    "reporter_of",
+    "take_claim",
+    "total_tokens",
+    "withdraw_claim",
+]
--- /dev/null
+++ b/verbenagrade/coordination/configuration.py
@@ -0,0 +1,217 @@
+"""The declared configuration: one order of revisions kept in the table."""
+
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from verbenagrade.coordination.codec import decode_row, encode_row
+from verbenagrade.coordination.commits import Step, commit
+from verbenagrade.coordination.ports import Row, Table, Write
+from verbenagrade.coordination.treasury import budget_key
+from verbenagrade.exceptions import InvalidResourceError, RevisionConflictError
+from verbenagrade.state.budgets import BudgetRow, retarget
+from verbenagrade.state.resources import (
+    Budget,
+    Pool,
+    Resource,
+    Route,
+    Spec,
+    Workspace,
+)
+
+__all__ = [
+    "Declaration",
+    "Head",
+    "apply_resource",
+    "changes_after",
+    "decode_spec",
+    "list_resources",
+    "read_head",
+    "read_resource",
+]
+
+HEAD_KEY = "configuration/head"
+PAGE_ROWS = 500
+BUDGET_PREFIX = "resource/budget/"
+
+SPEC_TYPES: dict[str, type[Spec]] = {
+    spec.kind: spec for spec in (Workspace, Budget, Route, Pool)
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The newest revision of the configuration."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Declaration:
+    """What an operator wants a resource to be.
+
+    ``generation`` is the one that the operator read, 0 for a new resource. The
+    same ``operation`` given again changes nothing further.
+    """
+
+    kind: str
+    name: str
+    spec: Spec
+    generation: int
+    operation: str
+
+
+@dataclass(frozen=True, slots=True)
+class StoredResource:
+    """A resource as its row keeps it; the spec is decoded by its kind."""
+
+    kind: str
+    name: str
+    generation: int
+    revision: int
+    operation: str
+    spec: msgspec.Raw
+
+
+def decode_spec(kind: str, raw: bytes) -> Spec:
+    """Reads a spec of the given kind from JSON.
+
+    Raises ``InvalidResourceError`` naming what is wrong and what is expected.
+    """
+    spec_type = SPEC_TYPES.get(kind)
+    if spec_type is None:
+        known = ", ".join(sorted(SPEC_TYPES))
+        raise InvalidResourceError(f"kind {kind!r} is not known; use one of {known}")
+    try:
+        return msgspec.json.decode(raw, type=spec_type, strict=True)
+    except msgspec.DecodeError as error:
+        raise InvalidResourceError(f"spec of this {kind}: {error}") from error
+
+
+async def read_head(table: Table) -> int:
+    """Returns the newest revision, 0 before the first."""
+    (row,) = await table.read((HEAD_KEY,))
+    return _revision(row)
+
+
+async def read_resource(table: Table, kind: str, name: str) -> Resource | None:
+    """Returns a resource as declared last, or ``None``."""
+    (row,) = await table.read((_resource_key(kind, name),))
+    return _decode(row) if row else None
+
+
+async def list_resources(table: Table, kind: str = "") -> tuple[Resource, ...]:
+    """Returns all resources of a kind, or of every kind."""
+    prefix = f"resource/{kind}/" if kind else "resource/"
+    return tuple(_decode(row) for row in await _scan_all(table, prefix, ""))
+
+
+async def changes_after(table: Table, revision: int) -> tuple[Resource, ...]:
+    """Returns the newest state of each resource that changed after a revision.
+
+    Budgets are left out: there are too many for each instance to keep, and a
+    holder reads what it needs of one with its tokens.
+    """
+    after = _change_key(revision)
+    changes = await _scan_all(table, "change/", after)
+    keys = tuple(dict.fromkeys(map(_changed_key, changes)))
+    keys = tuple(key for key in keys if not key.startswith(BUDGET_PREFIX))
+    if not keys:
+        return ()
+    rows = await table.read(keys)
+    return tuple(_decode(row) for row in rows if row)
+
+
+async def apply_resource(table: Table, wanted: Declaration) -> Resource:
+    """Accepts a declaration as the next revision.
+
+    A budget's tokens change in the same transaction. Raises
+    ``RevisionConflictError`` if the resource is not at the generation that the
+    operator read, and ``PlatformError`` if the table is away.
+    """
+    resource_key = _resource_key(wanted.kind, wanted.name)
+    keys = (HEAD_KEY, resource_key)
+    if isinstance(wanted.spec, Budget):
+        keys = (*keys, budget_key(wanted.name))
+
+    def decide(rows: tuple[Row | None, ...]) -> Step[Resource]:
+        current = decode_row(rows[1].value, StoredResource) if rows[1] else None
+        if current is not None and current.operation == wanted.operation:
+            return Step(_decode(rows[1]))
+        generation = current.generation if current else 0
+        if generation != wanted.generation:
+            raise RevisionConflictError(
+                f"{wanted.kind} {wanted.name} is at generation {generation}, not"
+                f" {wanted.generation}; read it and apply your change again"
+            )
+        revision = _revision(rows[0]) + 1
+        stored = _stored(wanted, generation + 1, revision)
+        writes = _resource_writes(resource_key, stored)
+        if isinstance(wanted.spec, Budget):
+            writes = (*writes, _budget_write(rows[2], wanted.name, wanted.spec))
+        result = Resource(
+            wanted.kind, wanted.name, stored.generation, revision, wanted.spec
+        )
+        return Step(result, writes)
+
+    return await commit(table, keys, decide)
+
+
+def _stored(wanted: Declaration, generation: int, revision: int) -> StoredResource:
+    return StoredResource(
+        kind=wanted.kind,
+        name=wanted.name,
+        generation=generation,
+        revision=revision,
+        operation=wanted.operation,
+        spec=msgspec.Raw(encode_row(wanted.spec)),
+    )
+
+
+def _resource_writes(key: str, stored: StoredResource) -> tuple[Write, ...]:
+    return (
+        Write(HEAD_KEY, encode_row(Head(stored.revision))),
+        Write(key, encode_row(stored)),
+        Write(_change_key(stored.revision), key.encode()),
+    )
+
+
+def _budget_write(row: Row | None, name: str, spec: Budget) -> Write:
+    if row is None:
+        budget = BudgetRow(prepaid=spec.prepaid, target=spec.prepaid)
+    else:
+        budget = retarget(decode_row(row.value, BudgetRow), spec.prepaid)
+    budget = replace(budget, workspace=spec.workspace, hold=spec.hold)
+    return Write(budget_key(name), encode_row(budget))
+
+
+async def _scan_all(table: Table, prefix: str, after: str) -> list[Row]:
+    found: list[Row] = []
+    while True:
+        page = await table.scan(prefix, after, PAGE_ROWS)
+        found.extend(page)
+        if len(page) < PAGE_ROWS:
+            return found
+        after = page[-1].key
+
+
+def _decode(row: Row) -> Resource:
+    stored = decode_row(row.value, StoredResource)
+    spec = decode_spec(stored.kind, bytes(stored.spec))
+    return Resource(stored.kind, stored.name, stored.generation, stored.revision, spec)
+
+
+def _changed_key(change: Row) -> str:
+    return change.value.decode()
+
+
+def _revision(row: Row | None) -> int:
+    return decode_row(row.value, Head).revision if row else 0
+
+
+def _resource_key(kind: str, name: str) -> str:
+    return f"resource/{kind}/{name}"
+
+
+def _change_key(revision: int) -> str:
+    return f"change/{revision:012d}"
--- /dev/null
+++ b/verbenagrade/coordination/confirmations.py
@@ -0,0 +1,101 @@
+"""Which configuration revision each instance has confirmed.
+
+The instances of a data centre tell one of them, the reporter, by heartbeat. It
+keeps one table row for the data centre, written only when something changes, so
+the cost does not grow with heartbeats.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from verbenagrade.coordination.codec import decode_row, encode_row
+from verbenagrade.coordination.commits import Step, commit
+from verbenagrade.coordination.ports import Row, Table, Write
+from verbenagrade.state.membership import Members, MemberVm, rank
+
+__all__ = [
+    "Confirmation",
+    "ConfirmationRow",
+    "missing_confirmations",
+    "read_confirmations",
+    "report_confirmations",
+    "reporter_of",
+]
+
+PREFIX = "confirmed/"
+PAGE_ROWS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """The revision that the instance on a VM uses."""
+
+    vm: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmationRow:
+    """All confirmations of one data centre."""
+
+    confirmations: tuple[Confirmation, ...]
+
+
+def reporter_of(members: Members, now: float) -> MemberVm:
+    """Returns the VM that reports for this instance's data centre."""
+    own = members.own
+    return rank("reporter", (*members.usable(own.data_centre, now), own))[0]
+
+
+async def report_confirmations(
+    table: Table, data_centre: str, news: Iterable[Confirmation]
+) -> None:
+    """Merges what is confirmed into the data centre's row; never goes back.
+
+    Raises ``PlatformError`` if the table is away; report again then.
+    """
+    key = PREFIX + data_centre
+    newest = tuple(news)
+
+    def decide(rows: tuple[Row | None, ...]) -> Step[None]:
+        known = decode_row(rows[0].value, ConfirmationRow) if rows[0] else None
+        before = known.confirmations if known else ()
+        merged = _merged(before, newest)
+        if merged == before:
+            return Step(None)
+        return Step(None, (Write(key, encode_row(ConfirmationRow(merged))),))
+
+    await commit(table, (key,), decide)
+
+
+async def read_confirmations(table: Table) -> tuple[Confirmation, ...]:
+    """Returns the confirmations of all data centres."""
+    rows = await table.scan(PREFIX, "", PAGE_ROWS)
+    return tuple(
+        confirmation
+        for row in rows
+        for confirmation in decode_row(row.value, ConfirmationRow).confirmations
+    )
+
+
+def missing_confirmations(
+    vms: Iterable[MemberVm], confirmed: Iterable[Confirmation], revision: int
+) -> tuple[MemberVm, ...]:
+    """Returns the listed VMs that have not confirmed a revision.
+
+    >>> listed = [MemberVm("vm-1", "a", ""), MemberVm("vm-2", "a", "")]
+    >>> [vm.vm for vm in missing_confirmations(listed, [Confirmation("vm-1", 4)], 4)]
+    ['vm-2']
+    """
+    reached = {c.vm for c in confirmed if c.revision >= revision}
+    return tuple(vm for vm in vms if vm.vm not in reached)
+
+
+def _merged(
+    before: tuple[Confirmation, ...], news: tuple[Confirmation, ...]
+) -> tuple[Confirmation, ...]:
+    revisions = {c.vm: c.revision for c in before}
+    for confirmation in news:
+        known = revisions.get(confirmation.vm, 0)
+        revisions[confirmation.vm] = max(known, confirmation.revision)
+    return tuple(Confirmation(vm, revisions[vm]) for vm in sorted(revisions))
--- /dev/null
+++ b/verbenagrade/coordination/heartbeats.py
@@ -0,0 +1,86 @@
+"""Sparse heartbeats: one message a period, whatever the size of the fleet."""
+
+import random
+
+from verbenagrade.coordination.confirmations import (
+    Confirmation,
+    report_confirmations,
+    reporter_of,
+)
+from verbenagrade.coordination.instance import FleetInstance
+from verbenagrade.coordination.ports import Table
+from verbenagrade.coordination.spender import Call
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import PeerError
+from verbenagrade.state.membership import MemberVm
+from verbenagrade.state.messages import Heartbeat, HeartbeatReply
+
+__all__ = ["Heartbeats"]
+
+
+class Heartbeats:
+    """Probes one other instance a period, every second time the reporter."""
+
+    def __init__(
+        self, fleet: FleetInstance, table: Table, call: Call, seed: int
+    ) -> None:
+        self.fleet = fleet
+        self.table = table
+        self.call = call
+        self.random = random.Random(seed)
+        self.beats = 0
+        self.reported: tuple[Confirmation, ...] = ()
+
+    async def beat(self) -> None:
+        """Sends one heartbeat, and reports what is confirmed if that is due here.
+
+        Raises ``PlatformError`` if a due report could not be written.
+        """
+        self.beats += 1
+        target = self._target()
+        if target is not None:
+            await self._probe(target)
+        reporter = reporter_of(self.fleet.members, self.fleet.clock())
+        if reporter.vm == self.fleet.instance.vm:
+            await self._report()
+
+    def _target(self) -> MemberVm | None:
+        members = self.fleet.members
+        now = self.fleet.clock()
+        reporter = reporter_of(members, now)
+        if self.beats % 2 and reporter.vm != members.own.vm:
+            return reporter
+        others = [vm for vm in members.vms.values() if vm.vm != members.own.vm]
+        near = [vm for vm in others if vm.data_centre == members.own.data_centre]
+        return self.random.choice(near) if near else None
+
+    async def _probe(self, target: MemberVm) -> None:
+        fleet = self.fleet
+        message = Heartbeat(
+            sender=fleet.instance,
+            data_centre=fleet.members.own.data_centre,
+            revision=fleet.revision,
+            leaving=fleet.holder.stopping,
+        )
+        try:
+            answer = await self.call(target, message)
+        except PeerError as error:
+            fleet.members.suspect(target.vm, fleet.clock())
+            log_event(Event.PEER_UNREACHABLE, vm=target.vm, reason=str(error))
+            return
+        if isinstance(answer, HeartbeatReply):
+            fleet.members.heard(answer.sender, answer.revision)
+
+    async def _report(self) -> None:
+        fleet = self.fleet
+        revisions = dict(fleet.members.revisions)
+        revisions[fleet.instance.vm] = fleet.revision
+        own_centre = fleet.members.own.data_centre
+        known = tuple(
+            Confirmation(vm, revisions[vm])
+            for vm, member in sorted(fleet.members.vms.items())
+            if member.data_centre == own_centre and vm in revisions
+        )
+        if known != self.reported:
+            await report_confirmations(self.table, own_centre, known)
+            self.reported = known
--- /dev/null
+++ b/verbenagrade/coordination/instance.py
@@ -0,0 +1,65 @@
+"""One router instance's share in the fleet: holder, spender and members."""
+
+from verbenagrade.coordination.holder import Holder, HolderLimits
+from verbenagrade.coordination.ports import Clock, ObjectStore, Table
+from verbenagrade.coordination.spender import Call, Spender, SpenderLimits
+from verbenagrade.exceptions import PeerSilentError
+from verbenagrade.settings import LimitSettings
+from verbenagrade.state.identity import Instance
+from verbenagrade.state.membership import Members
+from verbenagrade.state.messages import (
+    Answer,
+    Claims,
+    Heartbeat,
+    HeartbeatReply,
+    Message,
+    Replaced,
+    Reserve,
+    Settle,
+)
+
+__all__ = ["FleetInstance"]
+
+
+class FleetInstance:
+    """What an instance is to the others of the fleet."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        members: Members,
+        table: Table,
+        objects: ObjectStore,
+        call: Call,
+        limits: LimitSettings,
+        clock: Clock,
+    ) -> None:
+        self.instance = instance
+        self.members = members
+        self.clock = clock
+        holder_limits = HolderLimits(limits.unwritten_bills)
+        self.holder = Holder(instance, table, objects, holder_limits, clock)
+        spender_limits = SpenderLimits(limits.unsettled_attempts)
+        self.spender = Spender(
+            instance, members, self.holder, call, spender_limits, clock
+        )
+        self.revision = 0
+
+    async def handle(self, message: Message) -> Answer:
+        """Answers a message of another instance.
+
+        Raises ``PeerSilentError`` for a message that this version cannot answer.
+        """
+        match message:
+            case Reserve():
+                return await self.holder.reserve(message.order)
+            case Settle():
+                if message.holder != self.instance:
+                    return Replaced(self.instance)
+                return self.holder.settle(message)
+            case Claims():
+                return self.spender.claims(message)
+            case Heartbeat():
+                self.members.heard(message.sender, message.revision)
+                return HeartbeatReply(self.instance, self.revision)
+        raise PeerSilentError("no such message here; upgrade this VM")
--- /dev/null
+++ b/verbenagrade/coordination/journal.py
@@ -0,0 +1,85 @@
+"""Writes this instance's bills to the object store, in batches."""
+
+import asyncio
+from collections.abc import Callable
+
+from verbenagrade.coordination.codec import decode_row, encode_row
+from verbenagrade.coordination.ports import ObjectStore
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import FencedError, PlatformError
+from verbenagrade.state.bills import Bill, JournalBatch, JournalState, batch_key
+
+__all__ = ["Journal"]
+
+BATCH_LIMIT = 2000
+
+
+class Journal:
+    """The journal of one instance.
+
+    ``on_durable`` is called with the bills of each batch once it is written.
+    """
+
+    def __init__(
+        self,
+        state: JournalState,
+        objects: ObjectStore,
+        on_durable: Callable[[tuple[Bill, ...]], None],
+    ) -> None:
+        self.state = state
+        self.objects = objects
+        self.on_durable = on_durable
+        self.pending_attempts: set[str] = set()
+        self.lock = asyncio.Lock()
+
+    def append(self, bill: Bill) -> None:
+        """Queues a bill for the next batch."""
+        self.pending_attempts.add(bill.attempt)
+        self.state.pending.append(bill)
+
+    def is_pending(self, attempt: str) -> bool:
+        """Returns whether the bill of an attempt is not yet durable."""
+        return attempt in self.pending_attempts
+
+    def next_sequence(self) -> int:
+        """Returns the number of the first batch that is not yet durable."""
+        return self.state.sequence
+
+    async def flush(self) -> bool:
+        """Writes all queued bills; returns false while the store is away.
+
+        Raises ``FencedError`` if another instance sealed this journal.
+        """
+        async with self.lock:
+            while (batch := self.state.next_batch(BATCH_LIMIT)) is not None:
+                if not await self._write(batch):
+                    return False
+                self._written(batch)
+            return True
+
+    async def _write(self, batch: JournalBatch) -> bool:
+        key = batch_key(batch.writer, batch.sequence)
+        try:
+            if not await self.objects.create(key, encode_row(batch)):
+                await self._check_own(key, batch)
+        except PlatformError as error:
+            log_event(Event.JOURNAL_DELAYED, batch=key, reason=str(error))
+            return False
+        return True
+
+    async def _check_own(self, key: str, batch: JournalBatch) -> None:
+        """Tells an earlier try of ours, whose answer was lost, from a seal."""
+        stored = await self.objects.get(key)
+        if stored is not None and decode_row(stored, JournalBatch) == batch:
+            return
+        log_event(Event.JOURNAL_SEALED, batch=key)
+        raise FencedError(
+            f"{key} was sealed by another instance; restart this process, which"
+            " then runs as a new incarnation"
+        )
+
+    def _written(self, batch: JournalBatch) -> None:
+        bills = self.state.written()
+        self.pending_attempts.difference_update(bill.attempt for bill in bills)
+        self.on_durable(bills)
+        log_event(Event.JOURNAL_WRITTEN, sequence=batch.sequence, bills=len(bills))
--- /dev/null
+++ b/verbenagrade/coordination/ledger.py
@@ -0,0 +1,49 @@
+"""Reads bills back from the journals, for operators and reports."""
+
+from collections.abc import AsyncIterator, Iterable
+
+from verbenagrade.coordination.codec import decode_row
+from verbenagrade.coordination.ports import ObjectStore
+from verbenagrade.state.bills import Bill, JournalBatch, journal_prefix
+from verbenagrade.state.identity import Instance
+
+__all__ = ["bills_of_workspace", "journal_batches", "total_tokens"]
+
+ALL_JOURNALS = "journal/"
+
+
+async def journal_batches(
+    objects: ObjectStore, writer: Instance | None = None
+) -> AsyncIterator[JournalBatch]:
+    """Yields the batches of one instance, or of all, in order.
+
+    Raises ``PlatformError`` if the object store is away.
+    """
+    prefix = journal_prefix(writer) if writer else ALL_JOURNALS
+    after = ""
+    while names := await objects.names(prefix, after):
+        for name in names:
+            data = await objects.get(name)
+            if data is not None:
+                yield decode_row(data, JournalBatch)
+        after = names[-1]
+
+
+async def bills_of_workspace(objects: ObjectStore, workspace: str) -> tuple[Bill, ...]:
+    """Returns every bill of a workspace, oldest first."""
+    found = [
+        bill
+        async for batch in journal_batches(objects)
+        for bill in batch.bills
+        if bill.workspace == workspace
+    ]
+    return tuple(sorted(found, key=_by_time))
+
+
+def total_tokens(bills: Iterable[Bill]) -> int:
+    """Returns the tokens of all bills."""
+    return sum(bill.tokens for bill in bills)
+
+
+def _by_time(bill: Bill) -> tuple[float, str]:
+    return (bill.at, bill.attempt)
--- /dev/null
+++ b/verbenagrade/coordination/refresh.py
@@ -0,0 +1,51 @@
+"""Keeps the configuration and the members of an instance up to date."""
+
+from verbenagrade.coordination.configuration import (
+    changes_after,
+    list_resources,
+    read_head,
+)
+from verbenagrade.coordination.ports import Table, VmEntry, VmList
+from verbenagrade.events import Event, log_event
+from verbenagrade.state.catalogue import Catalogue
+from verbenagrade.state.membership import Members, MemberVm
+from verbenagrade.state.resources import Pool, Route, Workspace
+
+__all__ = ["refresh_catalogue", "refresh_members"]
+
+KEPT_KINDS = (Workspace.kind, Route.kind, Pool.kind)
+
+
+async def refresh_catalogue(table: Table, catalogue: Catalogue) -> bool:
+    """Takes over newer revisions; returns whether there was any.
+
+    Raises ``PlatformError`` if the table is away; what is in use stays in use.
+    """
+    revision = await read_head(table)
+    if revision <= catalogue.revision:
+        return False
+    if catalogue.revision == 0:
+        for kind in KEPT_KINDS:
+            catalogue.preload(await list_resources(table, kind))
+        changes = ()
+    else:
+        changes = await changes_after(table, catalogue.revision)
+    catalogue.take(changes, revision)
+    log_event(Event.CONFIGURATION_APPLIED, revision=revision)
+    return True
+
+
+async def refresh_members(vm_list: VmList, members: Members) -> None:
+    """Takes over the VM list.
+
+    Raises ``PlatformError`` if the list is away; the last one stays in use.
+    """
+    change = members.update(map(_member, await vm_list.fetch()))
+    for member in change.added:
+        log_event(Event.VM_LISTED, vm=member.vm, data_centre=member.data_centre)
+    for member in change.removed:
+        log_event(Event.VM_DELISTED, vm=member.vm, data_centre=member.data_centre)
+
+
+def _member(entry: VmEntry) -> MemberVm:
+    return MemberVm(entry.vm, entry.data_centre, entry.address, entry.leaving)
--- /dev/null
+++ b/verbenagrade/coordination/spender.py
@@ -0,0 +1,228 @@
+"""The spender's side: reserves before a run and settles after it.
+
+A spender never reserves with itself while another instance of its data centre
+answers. So every reservation and every bill is known on two VMs until the bill
+is durable, and the loss of one loses nothing.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from verbenagrade.coordination.holder import Holder
+from verbenagrade.coordination.ports import Clock
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import (
+    BudgetExhaustedError,
+    NotFoundError,
+    OverloadedError,
+    PeerError,
+    PeerSilentError,
+    UnavailableError,
+)
+from verbenagrade.state.bills import Bill
+from verbenagrade.state.holding import Earlier, Reservation, Reserved, ReserveOrder
+from verbenagrade.state.identity import Instance
+from verbenagrade.state.membership import Members, MemberVm, rank
+from verbenagrade.state.messages import (
+    Answer,
+    Claims,
+    ClaimsReply,
+    Denial,
+    Denied,
+    Message,
+    Release,
+    Replaced,
+    Reserve,
+    Settle,
+    SettleReply,
+)
+
+__all__ = ["Call", "Spender", "SpenderLimits"]
+
+Call = Callable[[MemberVm, Message], Awaitable[Answer]]
+
+CANDIDATES_PER_DATA_CENTRE = 2
+RETRY_AFTER_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class SpenderLimits:
+    """Bounds on the memory that a spender uses, as numbers of attempts."""
+
+    unsettled_attempts: int = 20_000
+
+
+class Spender:
+    """All attempts of this instance that are open or not durably billed."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        members: Members,
+        holder: Holder,
+        call: Call,
+        limits: SpenderLimits,
+        clock: Clock,
+    ) -> None:
+        self.instance = instance
+        self.members = members
+        self.holder = holder
+        self.call = call
+        self.limits = limits
+        self.clock = clock
+        self.open: dict[str, Reservation] = {}
+        self.holder_of: dict[str, Instance] = {}
+        self.bills: dict[str, Bill] = {}
+        self.releases: dict[str, Release] = {}
+        self.fenced: set[Instance] = set()
+
+    async def reserve(self, order: ReserveOrder) -> Reserved | Earlier:
+        """Gets tokens for an attempt from the first holder that has them.
+
+        Raises ``BudgetExhaustedError`` only if every holder that was asked knows
+        the budget to be spent, and ``UnavailableError`` if one could not tell.
+        """
+        if len(self.open) + len(self.bills) >= self.limits.unsettled_attempts:
+            raise OverloadedError("too many unsettled requests; retry in a second")
+        denials: list[Denied] = []
+        failures = 0
+        for attempt_no, member in enumerate(self._candidates(order.budget)):
+            numbered = replace(order, attempt=f"{order.attempt}.{attempt_no}")
+            if denials:
+                numbered = replace(numbered, patience_s=0.0)
+            answer = await self._ask(member, numbered)
+            if isinstance(answer, Denied):
+                denials.append(answer)
+            elif isinstance(answer, Reserved | Earlier):
+                return answer
+            else:
+                failures += 1
+        raise _refusal(order.budget, denials, failures)
+
+    def finish(self, bill: Bill) -> None:
+        """Hands over the bill of an attempt that ran."""
+        self.open.pop(bill.attempt, None)
+        self.bills[bill.attempt] = bill
+
+    def cancel(self, attempt: str, budget: str) -> None:
+        """Gives back the tokens of an attempt of which nothing ran."""
+        self.open.pop(attempt, None)
+        self.releases[attempt] = Release(attempt, budget)
+
+    async def settle(self) -> bool:
+        """Sends bills and releases to their holders; true when none are left."""
+        messages = map(self._settle_message, set(self.holder_of.values()))
+        due = [m for m in messages if m.bills or m.releases]
+        await asyncio.gather(*map(self._send_settle, due))
+        return not self.bills and not self.releases
+
+    def claims(self, message: Claims) -> ClaimsReply:
+        """Gives up a lost holder and names all that is held from it."""
+        self.fenced.add(message.lost)
+        attempts = [a for a, h in self.holder_of.items() if h == message.lost]
+        for attempt in attempts:
+            self.holder_of[attempt] = message.recoverer
+        reservations = tuple(self.open[a] for a in attempts if a in self.open)
+        bills = tuple(self.bills[a] for a in attempts if a in self.bills)
+        return ClaimsReply(reservations, bills)
+
+    def _candidates(self, budget: str) -> tuple[MemberVm, ...]:
+        now = self.clock()
+        own_centre = self.members.own.data_centre
+        near = rank(budget, self.members.usable(own_centre, now))
+        chosen = list(near[:CANDIDATES_PER_DATA_CENTRE]) or [self.members.own]
+        for data_centre in self.members.other_data_centres():
+            chosen.extend(rank(budget, self.members.usable(data_centre, now))[:1])
+        return tuple(chosen)
+
+    async def _ask(
+        self, member: MemberVm, order: ReserveOrder
+    ) -> Reserved | Earlier | Denied | None:
+        if member.vm == self.instance.vm:
+            answer = await self.holder.reserve(order)
+            return self._accept(order, answer, self.instance)
+        try:
+            answer = await self.call(member, Reserve(order))
+        except PeerError as error:
+            self._failed(member, order, error)
+            return None
+        return self._accept(order, answer, self.members.instances.get(member.vm))
+
+    def _failed(self, member: MemberVm, order: ReserveOrder, error: PeerError) -> None:
+        self.members.suspect(member.vm, self.clock())
+        log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
+        silent = isinstance(error, PeerSilentError)
+        holder = self.members.instances.get(member.vm)
+        if silent and holder is not None:
+            self.holder_of[order.attempt] = holder
+            self.releases[order.attempt] = Release(order.attempt, order.budget)
+
+    def _accept(
+        self, order: ReserveOrder, answer: Answer, holder: Instance | None
+    ) -> Reserved | Earlier | Denied | None:
+        if isinstance(answer, Reserved):
+            owner = answer.grant.owner
+            if owner in self.fenced:
+                return None
+            self.holder_of[answer.attempt] = owner
+            self.open[answer.attempt] = Reservation(order, answer.tokens, self.clock())
+            log_event(Event.HOLDER_CHOSEN, attempt=answer.attempt, holder=owner.name)
+        if isinstance(answer, Earlier) and holder is not None:
+            self.holder_of.setdefault(answer.attempt, holder)
+        if isinstance(answer, Reserved | Earlier | Denied):
+            return answer
+        return None
+
+    def _settle_message(self, holder: Instance) -> Settle:
+        attempts = [a for a, h in self.holder_of.items() if h == holder]
+        bills = tuple(self.bills[a] for a in attempts if a in self.bills)
+        releases = tuple(self.releases[a] for a in attempts if a in self.releases)
+        return Settle(holder, bills, releases)
+
+    async def _send_settle(self, message: Settle) -> None:
+        holder = message.holder
+        if holder == self.instance:
+            self._settled(self.holder.settle(message))
+            return
+        member = self.members.vms.get(holder.vm)
+        if member is None:
+            return
+        try:
+            answer = await self.call(member, message)
+        except PeerError as error:
+            log_event(Event.PEER_UNREACHABLE, vm=holder.vm, reason=str(error))
+            return
+        if isinstance(answer, SettleReply):
+            self._settled(answer)
+        if isinstance(answer, Replaced):
+            self.members.saw(answer.current)
+
+    def _settled(self, reply: SettleReply) -> None:
+        for attempt in reply.durable:
+            self.bills.pop(attempt, None)
+            self.holder_of.pop(attempt, None)
+        for attempt in reply.released:
+            self.releases.pop(attempt, None)
+            self.holder_of.pop(attempt, None)
+
+
+def _refusal(
+    budget: str, denials: list[Denied], failures: int
+) -> BudgetExhaustedError | NotFoundError | OverloadedError | UnavailableError:
+    reasons = {denial.reason for denial in denials}
+    if Denial.UNKNOWN_BUDGET in reasons:
+        return NotFoundError(
+            f"budget {budget} does not exist in this workspace; use one that does"
+        )
+    if reasons == {Denial.EXHAUSTED} and not failures:
+        return BudgetExhaustedError(
+            f"budget {budget} has too few tokens left; top it up, or ask for a"
+            " shorter answer"
+        )
+    if reasons == {Denial.FULL} and not failures:
+        return OverloadedError("bills wait for the platform; retry later")
+    return UnavailableError(
+        f"no instance could prove that budget {budget} has tokens left; retry in"
+        f" {RETRY_AFTER_S:g} s"
+    )
--- /dev/null
+++ b/verbenagrade/coordination/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of verbenagrade.coordination."""
--- /dev/null
+++ b/verbenagrade/coordination/treasury.py
@@ -0,0 +1,66 @@
+"""Moves tokens between budget rows and grant rows in the table service."""
+
+from verbenagrade.coordination.codec import decode_row, encode_row
+from verbenagrade.coordination.commits import Step, commit
+from verbenagrade.coordination.ports import Row, Table, Write
+from verbenagrade.exceptions import NotFoundError
+from verbenagrade.state.budgets import (
+    Adjusted,
+    Adjustment,
+    BudgetRow,
+    GrantRow,
+    adjust,
+)
+from verbenagrade.state.identity import GrantId
+
+__all__ = ["adjust_grant", "budget_key", "read_budget"]
+
+
+def budget_key(budget: str) -> str:
+    """Returns the key of a budget's row."""
+    return f"budget/{budget}"
+
+
+async def read_budget(table: Table, budget: str) -> BudgetRow | None:
+    """Returns a budget's row, or ``None`` if there is no such budget."""
+    (row,) = await table.read((budget_key(budget),))
+    return decode_row(row.value, BudgetRow) if row else None
+
+
+async def adjust_grant(table: Table, grant: GrantId, order: Adjustment) -> Adjusted:
+    """Settles, draws and returns tokens of one grant in one transaction.
+
+    A grant that ends with nothing unspent and nothing wished for loses its row.
+    Raises ``PlatformError`` if the table is away; the same order may then be
+    given again, because its operation number makes it take effect once.
+    """
+    keys = (budget_key(grant.budget), grant.key)
+
+    def decide(rows: tuple[Row | None, ...]) -> Step[Adjusted]:
+        budget = _budget_of(rows[0], grant)
+        held = decode_row(rows[1].value, GrantRow) if rows[1] else None
+        if held is None and order.operation > 1:
+            closed = GrantRow(order.spent, order.spent, order.operation)
+            return Step(Adjusted(budget, closed))
+        before = held or GrantRow(journal_from=order.journal_from)
+        after = adjust(budget, before, order)
+        if after.grant == before or (held is None and not after.grant.amount):
+            return Step(after)
+        return Step(after, _writes(keys, after))
+
+    return await commit(table, keys, decide)
+
+
+def _budget_of(row: Row | None, grant: GrantId) -> BudgetRow:
+    if row is None:
+        raise NotFoundError(
+            f"budget {grant.budget} does not exist; apply a budget resource first"
+        )
+    return decode_row(row.value, BudgetRow)
+
+
+def _writes(keys: tuple[str, str], after: Adjusted) -> tuple[Write, ...]:
+    budget_write = Write(keys[0], encode_row(after.budget))
+    finished = after.grant.unspent == 0
+    grant_value = None if finished else encode_row(after.grant)
+    return (budget_write, Write(keys[1], grant_value))
--- /dev/null
+++ b/verbenagrade/events/log.py
@@ -0,0 +1,47 @@
+"""Writes events as one JSON object a line."""
+
+import sys
+
+import logbook
+import msgspec
+
+from verbenagrade.events.catalogue import Event
+
+__all__ = ["log_event", "set_up_logging"]
+
+_logger = logbook.Logger("verbenagrade")
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """Logs an event with its fields.
+
+    The fields end up in the line beside ``event``, ``level`` and ``message``.
+    """
+    _logger.log(event.level, event.text, extra={"event": event, "fields": fields})
+
+
+def set_up_logging(level: str, process: str) -> None:
+    """Sends events of ``level`` and above to standard error.
+
+    Raises ``LookupError`` if ``logbook`` knows no such level.
+    """
+
+    def format_record(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+        return _format_record(record, process)
+
+    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
+    handler.formatter = format_record
+    handler.push_application()
+
+
+def _format_record(record: logbook.LogRecord, process: str) -> str:
+    event = record.extra["event"]
+    line = {
+        "at": record.time.isoformat(timespec="milliseconds"),
+        "process": process,
+        "level": record.level_name.lower(),
+        "event": event.number if event else 0,
+        "message": record.message,
+    }
+    line.update(record.extra["fields"] or {})
+    return msgspec.json.encode(line, enc_hook=str).decode()
--- /dev/null
+++ b/verbenagrade/state/bills.py
@@ -0,0 +1,85 @@
+"""Bills and the journal batches that make them durable."""
+
+from dataclasses import dataclass
+
+from verbenagrade.state.identity import GrantId, Instance
+
+__all__ = ["Bill", "JournalBatch", "JournalState", "batch_key", "journal_prefix"]
+
+
+@dataclass(frozen=True, slots=True)
+class Bill:
+    """What one attempt used, charged to one grant.
+
+    ``attempt`` identifies the bill. ``tokens`` counts prompt and answer.
+    ``at`` is in seconds since the epoch.
+    """
+
+    attempt: str
+    request: str
+    workspace: str
+    grant: GrantId
+    endpoint: str
+    tokens: int
+    prompt_tokens: int
+    outcome: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class JournalBatch:
+    """One object of an instance's journal.
+
+    A batch with ``sealed_by`` ends the journal of an instance that is lost: the
+    object store creates each name once, so either the writer's batch or the
+    seal stands, never both.
+    """
+
+    writer: Instance
+    sequence: int
+    bills: tuple[Bill, ...] = ()
+    sealed_by: Instance | None = None
+
+
+def journal_prefix(writer: Instance) -> str:
+    """Returns the prefix that the names of an instance's batches share."""
+    return f"journal/{writer.name}/"
+
+
+def batch_key(writer: Instance, sequence: int) -> str:
+    """Returns the object name of one batch.
+
+    >>> batch_key(Instance("muscat-1", 17), 3)
+    'journal/muscat-1.17/000000003'
+    """
+    return f"{journal_prefix(writer)}{sequence:09d}"
+
+
+class JournalState:
+    """The bills of this instance that are not yet durable, and the next name."""
+
+    def __init__(self, writer: Instance) -> None:
+        self.writer = writer
+        self.sequence = 0
+        self.pending: list[Bill] = []
+        self.in_flight: JournalBatch | None = None
+
+    def next_batch(self, limit: int) -> JournalBatch | None:
+        """Returns the batch to write now: the one in flight, or a new one."""
+        if self.in_flight is None and self.pending:
+            bills = tuple(self.pending[:limit])
+            del self.pending[:limit]
+            self.in_flight = JournalBatch(self.writer, self.sequence, bills)
+        return self.in_flight
+
+    def written(self) -> tuple[Bill, ...]:
+        """Records that the batch in flight is durable and returns its bills."""
+        batch = self.in_flight
+        self.in_flight = None
+        self.sequence += 1
+        return batch.bills
+
+    def depth(self) -> int:
+        """Returns the number of bills that are not yet durable."""
+        held = len(self.in_flight.bills) if self.in_flight else 0
+        return len(self.pending) + held
--- /dev/null
+++ b/verbenagrade/state/catalogue.py
@@ -0,0 +1,86 @@
+"""The configuration that an instance has in use."""
+
+from collections.abc import Iterable
+
+from verbenagrade.exceptions import NotFoundError
+from verbenagrade.state.resources import (
+    EndpointAddress,
+    Pool,
+    Resource,
+    Route,
+    Workspace,
+)
+
+__all__ = ["Catalogue"]
+
+
+class Catalogue:
+    """All resources at one revision; it only moves forward."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.resources: dict[tuple[str, str], Resource] = {}
+        self.workspace_by_key: dict[str, str] = {}
+
+    def take(self, changes: Iterable[Resource], revision: int) -> None:
+        """Applies changes that lead to a revision, unless it is an old one."""
+        if revision <= self.revision:
+            return
+        for resource in changes:
+            self._take_one(resource)
+        self.revision = revision
+
+    def preload(self, resources: Iterable[Resource]) -> None:
+        """Adds resources of a first load, before ``take`` sets its revision."""
+        for resource in resources:
+            self._take_one(resource)
+
+    def workspace_of(self, api_key: str) -> tuple[str, Workspace]:
+        """Returns the workspace that a caller's key belongs to."""
+        name = self.workspace_by_key.get(api_key)
+        if name is None:
+            raise NotFoundError("this API key is not known; ask an operator for one")
+        return name, self._spec("workspace", name)
+
+    def route(self, workspace: Workspace, name: str) -> Route:
+        """Returns a route if the workspace may use it."""
+        if name not in workspace.routes:
+            raise NotFoundError(
+                f"route {name!r} is not open to this workspace; use one of"
+                f" {', '.join(workspace.routes)}"
+            )
+        return self._spec("route", name)
+
+    def pool(self, name: str) -> Pool:
+        """Returns a pool by name."""
+        return self._spec("pool", name)
+
+    def endpoints(self) -> tuple[EndpointAddress, ...]:
+        """Returns every endpoint of every pool."""
+        return tuple(
+            endpoint
+            for (kind, _), resource in self.resources.items()
+            if kind == Pool.kind
+            for endpoint in resource.spec.endpoints
+        )
+
+    def _spec(self, kind: str, name: str) -> Workspace | Route | Pool:
+        resource = self.resources.get((kind, name))
+        if resource is None:
+            raise NotFoundError(f"{kind} {name!r} is not declared; apply it first")
+        return resource.spec
+
+    def _take_one(self, resource: Resource) -> None:
+        known = self.resources.get((resource.kind, resource.name))
+        if known is not None and known.revision >= resource.revision:
+            return
+        self.resources[resource.kind, resource.name] = resource
+        if isinstance(resource.spec, Workspace):
+            self._index_keys(resource.name, resource.spec)
+
+    def _index_keys(self, name: str, spec: Workspace) -> None:
+        old = [k for k, owner in self.workspace_by_key.items() if owner == name]
+        for key in old:
+            del self.workspace_by_key[key]
+        for key in spec.api_keys:
+            self.workspace_by_key[key] = name
--- /dev/null
+++ b/verbenagrade/state/demand.py
@@ -0,0 +1,70 @@
+"""Estimates how fast a budget is spent, and how much of it to hold."""
+
+import math
+from dataclasses import dataclass
+
+__all__ = ["DEMAND_WINDOW_S", "DemandEstimate", "HoldPolicy", "wished_holding"]
+
+DEMAND_WINDOW_S = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class HoldPolicy:
+    """How much of a budget a holder may keep in advance.
+
+    ``hold_s`` is the time in seconds for which it holds the recent demand; it
+    is the one setting that trades stranded tokens against refusals while the
+    platform is away. ``share`` bounds a draw as a part of what is available.
+    ``minimum`` is the smallest wish in tokens while there is any demand.
+    """
+
+    hold_s: float = 7200.0
+    share: float = 0.25
+    minimum: int = 2000
+
+
+class DemandEstimate:
+    """An exponentially decayed rate of tokens per second."""
+
+    def __init__(self) -> None:
+        self.weight = 0.0
+        self.at = 0.0
+        self.since: float | None = None
+
+    def add(self, tokens: int, now: float) -> None:
+        """Counts tokens used at ``now``, in seconds."""
+        if self.since is None:
+            self.since = now
+        self.weight = self._decayed(now) + tokens
+        self.at = now
+
+    def rate(self, now: float) -> float:
+        """Returns the estimated demand in tokens per second.
+
+        >>> demand = DemandEstimate()
+        >>> for second in range(3000):
+        ...     demand.add(10, float(second))
+        >>> round(demand.rate(3000.0))
+        10
+        """
+        if self.since is None:
+            return 0.0
+        observed = max(1.0, now - self.since)
+        covered = DEMAND_WINDOW_S * -math.expm1(-observed / DEMAND_WINDOW_S)
+        return self._decayed(now) / max(1.0, covered)
+
+    def _decayed(self, now: float) -> float:
+        return self.weight * math.exp(-max(0.0, now - self.at) / DEMAND_WINDOW_S)
+
+
+def wished_holding(rate: float, policy: HoldPolicy) -> int:
+    """Returns the unspent tokens that a holder should keep.
+
+    >>> wished_holding(10.0, HoldPolicy(hold_s=600.0, minimum=500))
+    6000
+    >>> wished_holding(0.0, HoldPolicy())
+    0
+    """
+    if rate * policy.hold_s < 1.0:
+        return 0
+    return max(policy.minimum, math.ceil(rate * policy.hold_s))
--- /dev/null
+++ b/verbenagrade/state/messages.py
@@ -0,0 +1,129 @@
+"""The messages that instances send each other, and their answers."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from verbenagrade.state.bills import Bill
+from verbenagrade.state.holding import Earlier, Reservation, Reserved, ReserveOrder
+from verbenagrade.state.identity import Instance
+
+__all__ = [
+    "Answer",
+    "Claims",
+    "ClaimsReply",
+    "Denial",
+    "Denied",
+    "Heartbeat",
+    "HeartbeatReply",
+    "Message",
+    "Release",
+    "Replaced",
+    "Reserve",
+    "Settle",
+    "SettleReply",
+]
+
+
+class Denial(StrEnum):
+    """Why a holder gives no tokens."""
+
+    EXHAUSTED = "exhausted"
+    PLATFORM_AWAY = "platform_away"
+    FULL = "full"
+    STOPPING = "stopping"
+    UNKNOWN_BUDGET = "unknown_budget"
+
+
+@dataclass(frozen=True, slots=True)
+class Reserve:
+    """Asks a holder for tokens."""
+
+    order: ReserveOrder
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """The holder gives no tokens; ``retry_after_s`` is when to ask again."""
+
+    reason: Denial
+    left: int
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Ends the reservation of an attempt of which nothing ran."""
+
+    attempt: str
+    budget: str
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Hands bills to a holder and releases attempts of which nothing ran.
+
+    The same message is sent until its bills are durable.
+    """
+
+    holder: Instance
+    bills: tuple[Bill, ...] = ()
+    releases: tuple[Release, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SettleReply:
+    """Names the attempts that need not be sent again."""
+
+    durable: tuple[str, ...]
+    released: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Claims:
+    """Asks for all that a spender holds from a lost holder.
+
+    The spender takes nothing more from ``lost`` and settles with
+    ``recoverer`` from then on.
+    """
+
+    lost: Instance
+    recoverer: Instance
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimsReply:
+    """Reservations still in use, and bills that were not known to be durable."""
+
+    reservations: tuple[Reservation, ...]
+    bills: tuple[Bill, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Says that the sender runs, and which configuration it uses."""
+
+    sender: Instance
+    data_centre: str
+    revision: int
+    leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    """The answer to a heartbeat."""
+
+    sender: Instance
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """The instance that was meant is gone; ``current`` runs at its address."""
+
+    current: Instance
+
+
+Message = Reserve | Settle | Claims | Heartbeat
+Answer = (
+    Reserved | Denied | Earlier | SettleReply | ClaimsReply | HeartbeatReply | Replaced
+)
--- /dev/null
+++ b/verbenagrade/tests/standins/platform.py
@@ -0,0 +1,168 @@
+"""Stands in for the platform: table service, object store and VM list.
+
+``POST /switch`` takes a JSON object: ``down`` and ``slow_s`` apply to callers
+from ``only`` (addresses, empty for all); ``lose_answers`` drops that many
+answers to writes after they took effect; ``vms`` replaces the VM list.
+"""
+
+import asyncio
+import bisect
+
+import msgspec
+import typer
+from aiohttp import web
+
+from verbenagrade.coordination.ports import Row, VmEntry
+from verbenagrade.protocol.platform import (
+    ReadReply,
+    ReadRequest,
+    ScanReply,
+    ScanRequest,
+    TransactReply,
+    TransactRequest,
+    VmListReply,
+)
+
+
+class Switches(msgspec.Struct):
+    down: bool = False
+    slow_s: float = 0.0
+    only: list[str] = []
+    lose_answers: int = 0
+    vms: list[VmEntry] | None = None
+
+
+class Counts(msgspec.Struct):
+    reads: int = 0
+    writes: int = 0
+    conflicts: int = 0
+    objects: int = 0
+
+
+class TableStandIn:
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.keys: list[str] = []
+        self.version = 0
+        self.counts = Counts()
+
+    def read(self, body: ReadRequest) -> ReadReply:
+        self.counts.reads += 1
+        return ReadReply(tuple(self.rows.get(key) for key in body.keys))
+
+    def scan(self, body: ScanRequest) -> ScanReply:
+        self.counts.reads += 1
+        start = bisect.bisect_right(self.keys, body.after or body.prefix)
+        if not body.after and body.prefix in self.rows:
+            start -= 1
+        found = []
+        for key in self.keys[start:]:
+            if not key.startswith(body.prefix) or len(found) == body.limit:
+                break
+            found.append(self.rows[key])
+        return ScanReply(tuple(found))
+
+    def transact(self, body: TransactRequest) -> TransactReply:
+        for check in body.checks:
+            row = self.rows.get(check.key)
+            if (row.version if row else 0) != check.version:
+                self.counts.conflicts += 1
+                return TransactReply(False)
+        self.counts.writes += 1
+        for write in body.writes:
+            self._put(write.key, write.value)
+        return TransactReply(True)
+
+    def _put(self, key: str, value: bytes | None) -> None:
+        self.version += 1
+        if value is None:
+            if self.rows.pop(key, None):
+                self.keys.remove(key)
+            return
+        if key not in self.rows:
+            bisect.insort(self.keys, key)
+        self.rows[key] = Row(key, self.version, value)
+
+
+class PlatformStandIn:
+    def __init__(self) -> None:
+        self.table = TableStandIn()
+        self.objects: dict[str, bytes] = {}
+        self.vms: list[VmEntry] = []
+        self.switches = Switches()
+
+    def application(self) -> web.Application:
+        app = web.Application(middlewares=[self._faults], client_max_size=1 << 26)
+        table = self.table
+        app.router.add_post("/table/read", _json(ReadRequest, table.read))
+        app.router.add_post("/table/scan", _json(ScanRequest, table.scan))
+        app.router.add_post("/table/transact", _json(TransactRequest, table.transact))
+        app.router.add_put("/objects/{name:.+}", self._create)
+        app.router.add_get("/objects/{name:.+}", self._get)
+        app.router.add_get("/objects/", self._names)
+        app.router.add_get("/vmlist/vms", self._list_vms)
+        app.router.add_post("/switch", self._switch)
+        app.router.add_get("/counts", self._counts)
+        return app
+
+    @web.middleware
+    async def _faults(self, request, handler):
+        if request.path in ("/switch", "/counts"):
+            return await handler(request)
+        switches = self.switches
+        hit = not switches.only or request.remote in switches.only
+        if hit and switches.down:
+            return web.Response(status=503)
+        if hit and switches.slow_s:
+            await asyncio.sleep(switches.slow_s)
+        response = await handler(request)
+        writes = request.method == "PUT" or request.path == "/table/transact"
+        if hit and writes and switches.lose_answers > 0:
+            switches.lose_answers -= 1
+            request.transport.close()
+        return response
+
+    async def _create(self, request):
+        name = request.match_info["name"]
+        if name in self.objects and request.headers.get("If-None-Match") == "*":
+            return web.Response(status=412)
+        self.objects[name] = await request.read()
+        self.table.counts.objects += 1
+        return web.Response(status=201)
+
+    async def _get(self, request):
+        data = self.objects.get(request.match_info["name"])
+        return web.Response(status=404) if data is None else web.Response(body=data)
+
+    async def _names(self, request):
+        prefix, after = request.query["prefix"], request.query["after"]
+        found = sorted(n for n in self.objects if n.startswith(prefix) and n > after)
+        return web.Response(body=msgspec.json.encode(found[:500]))
+
+    async def _list_vms(self, _request):
+        return web.Response(body=msgspec.json.encode(VmListReply(tuple(self.vms))))
+
+    async def _switch(self, request):
+        self.switches = msgspec.json.decode(await request.read(), type=Switches)
+        if self.switches.vms is not None:
+            self.vms = self.switches.vms
+        return web.Response(text="ok")
+
+    async def _counts(self, _request):
+        return web.Response(body=msgspec.json.encode(self.table.counts))
+
+
+def _json(body_type, action):
+    async def handle(request):
+        body = msgspec.json.decode(await request.read(), type=body_type)
+        return web.Response(body=msgspec.json.encode(action(body)))
+
+    return handle
+
+
+def main(address: str, port: int) -> None:
+    web.run_app(PlatformStandIn().application(), host=address, port=port, print=None)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/verbenagrade/transport/callers.py
@@ -0,0 +1,160 @@
+"""The callers' side of a router: one aiohttp application."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import web
+
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import UnavailableError, VerbenagradeError
+from verbenagrade.metrics import RouterMetrics
+from verbenagrade.protocol.chat import parse_chat
+from verbenagrade.protocol.problems import encode_problem, problem_of
+from verbenagrade.settings import LimitSettings
+from verbenagrade.state.catalogue import Catalogue
+from verbenagrade.transport.chat import ChatService
+from verbenagrade.transport.requests import check_in_flight, read_body, read_caller
+from verbenagrade.transport.services import ServiceCall, ServiceGateway
+
+__all__ = ["CallersSide", "RouterStatus"]
+
+PROBLEM_TYPE = "application/problem+json"
+HTTP_UNAVAILABLE = 503
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class RouterStatus:
+    """What a router says of itself to operators."""
+
+    instance: str
+    data_centre: str
+    revision: int
+    stopping: bool
+    waits_for: tuple[str, ...]
+    in_flight: int
+    unsettled_attempts: int
+    unwritten_bills: int
+    grants: int
+    granted_tokens: int
+    reserved_tokens: int
+    table_operations: int
+    suspected_vms: tuple[str, ...]
+
+
+class CallersSide:
+    """Requests of callers, and what operators and the balancer ask a router."""
+
+    def __init__(
+        self,
+        chat: ChatService,
+        services: ServiceGateway,
+        catalogue: Catalogue,
+        limits: LimitSettings,
+        status: Callable[[], RouterStatus],
+    ) -> None:
+        self.chat = chat
+        self.services = services
+        self.catalogue = catalogue
+        self.limits = limits
+        self.status = status
+        self.metrics = RouterMetrics()
+        self.in_flight = 0
+        self.stopping = False
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application(client_max_size=self.limits.body_bytes)
+        app.router.add_post("/v1/chat/completions", self._guarded(self._chat))
+        app.router.add_route(
+            "*", "/services/{route}/{path:.*}", self._guarded(self._service)
+        )
+        app.router.add_get("/healthz", self._healthy)
+        app.router.add_get("/readyz", self._ready)
+        app.router.add_get("/status", self._status)
+        app.router.add_get("/metrics", self._metrics)
+        return app
+
+    def _guarded(self, handler: Handler) -> Handler:
+        """Counts a request and turns errors into problem documents."""
+
+        async def guarded(request: web.Request) -> web.StreamResponse:
+            self.in_flight += 1
+            try:
+                check_in_flight(self.in_flight - 1, self.limits.in_flight)
+                response = await handler(request)
+                self.metrics.requests.inc({"outcome": "answered"})
+                return response
+            except VerbenagradeError as error:
+                return self._refuse(error)
+            finally:
+                self.in_flight -= 1
+
+        return guarded
+
+    async def _chat(self, request: web.Request) -> web.StreamResponse:
+        self._check_configured()
+        caller = read_caller(request, self.catalogue)
+        body = await read_body(request, self.limits.body_bytes)
+        return await self.chat.serve(request, caller, parse_chat(body))
+
+    async def _service(self, request: web.Request) -> web.StreamResponse:
+        self._check_configured()
+        caller = read_caller(request, self.catalogue)
+        path = request.match_info["path"]
+        query = request.query_string
+        call = ServiceCall(
+            route=request.match_info["route"],
+            method=request.method,
+            path=f"{path}?{query}" if query else path,
+            content_type=request.content_type,
+            body=await read_body(request, self.limits.body_bytes),
+        )
+        return await self.services.serve(caller, call)
+
+    def _check_configured(self) -> None:
+        if self.catalogue.revision == 0:
+            raise UnavailableError("this router has no configuration yet; retry in 2 s")
+
+    def _refuse(self, error: VerbenagradeError) -> web.Response:
+        problem = problem_of(error)
+        self.metrics.requests.inc({"outcome": problem.kind})
+        log_event(
+            Event.REQUEST_REFUSED,
+            kind=problem.kind,
+            outcome=problem.outcome,
+            detail=problem.detail,
+        )
+        response = web.Response(
+            status=problem.status,
+            body=encode_problem(problem),
+            content_type=PROBLEM_TYPE,
+        )
+        if problem.retry_after_s is not None:
+            response.headers["Retry-After"] = f"{problem.retry_after_s:.0f}"
+        return response
+
+    async def _healthy(self, _request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _ready(self, _request: web.Request) -> web.Response:
+        if self.stopping or self.catalogue.revision == 0:
+            return web.Response(status=HTTP_UNAVAILABLE, text="not ready\n")
+        return web.Response(text="ready\n")
+
+    async def _status(self, _request: web.Request) -> web.Response:
+        body = msgspec.json.encode(self.status())
+        return web.Response(body=body, content_type="application/json")
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        status = self.status()
+        self.metrics.in_flight.set({}, status.in_flight)
+        self.metrics.bills.set({}, status.unsettled_attempts)
+        self.metrics.revision.set({}, status.revision)
+        self.metrics.table.set({}, status.table_operations)
+        accepts = tuple(request.headers.getall("Accept", ()))
+        return web.Response(
+            body=self.metrics.render(accepts), content_type="text/plain"
+        )
--- /dev/null
+++ b/verbenagrade/transport/engines.py
@@ -0,0 +1,74 @@
+"""Requests to endpoints, over HTTP."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import msgspec
+
+from verbenagrade.exceptions import UpstreamBrokenError, UpstreamUnreachableError
+from verbenagrade.protocol.chat import EngineRecord
+
+__all__ = ["EndpointClient"]
+
+ATTEMPT_HEADER = "X-Request-Id"
+RECORD_TIMEOUT_S = 5.0
+
+
+class EndpointClient:
+    """Sends attempts to endpoints and asks what became of them."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, connect_s: float, progress_s: float
+    ) -> None:
+        self.session = session
+        self.timeout = aiohttp.ClientTimeout(
+            total=None, connect=connect_s, sock_connect=connect_s, sock_read=progress_s
+        )
+
+    @asynccontextmanager
+    async def send(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        attempt: str,
+        content_type: str = "application/json",
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Sends one attempt and yields the response.
+
+        Raises ``UpstreamUnreachableError`` if nothing was sent, and
+        ``UpstreamBrokenError`` if the endpoint broke off after that.
+        """
+        headers = {ATTEMPT_HEADER: attempt, "Content-Type": content_type}
+        try:
+            async with self.session.request(
+                method, url, data=body, headers=headers, timeout=self.timeout
+            ) as response:
+                yield response
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise UpstreamUnreachableError(
+                f"{url}: no connection; retry in a second"
+            ) from error
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise UpstreamBrokenError(
+                f"{url}: {type(error).__name__}; ask for the outcome before a retry"
+            ) from error
+
+    async def record(self, base: str, attempt: str) -> EngineRecord | None:
+        """Returns what an engine knows of an attempt, ``None`` if it is away."""
+        return await self._ask("GET", f"{base}/v1/requests/{attempt}")
+
+    async def close(self, base: str, attempt: str) -> EngineRecord | None:
+        """Stops an attempt, bars it from ever starting, and returns its count."""
+        return await self._ask("POST", f"{base}/v1/requests/{attempt}/close")
+
+    async def _ask(self, method: str, url: str) -> EngineRecord | None:
+        timeout = aiohttp.ClientTimeout(total=RECORD_TIMEOUT_S)
+        try:
+            async with self.session.request(method, url, timeout=timeout) as response:
+                if not response.ok:
+                    return None
+                return msgspec.json.decode(await response.read(), type=EngineRecord)
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return None
--- /dev/null
+++ b/verbenagrade/transport/operators.py
@@ -0,0 +1,158 @@
+"""The operators' side: the resource API."""
+
+import re
+import uuid
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from verbenagrade.coordination.configuration import (
+    Declaration,
+    apply_resource,
+    decode_spec,
+    list_resources,
+    read_resource,
+)
+from verbenagrade.coordination.confirmations import (
+    missing_confirmations,
+    read_confirmations,
+)
+from verbenagrade.coordination.ledger import bills_of_workspace, total_tokens
+from verbenagrade.coordination.ports import ObjectStore, Table, VmList
+from verbenagrade.coordination.treasury import read_budget
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import (
+    InvalidResourceError,
+    NotFoundError,
+    VerbenagradeError,
+)
+from verbenagrade.protocol.problems import encode_problem, problem_of
+from verbenagrade.protocol.resources import (
+    Awaited,
+    BudgetReply,
+    ExplainReply,
+    ListReply,
+    StatusReply,
+    decode_apply,
+    reply_of,
+)
+from verbenagrade.state.membership import MemberVm
+
+__all__ = ["OperatorsSide"]
+
+NAME = re.compile(r"^[a-z0-9][a-z0-9.-]{0,99}$")
+GRANT_PAGE_ROWS = 1000
+
+Handler = Callable[[web.Request], Awaitable[object]]
+
+
+class OperatorsSide:
+    """Answers operators from the platform's services; it keeps nothing itself."""
+
+    def __init__(self, table: Table, objects: ObjectStore, vm_list: VmList) -> None:
+        self.table = table
+        self.objects = objects
+        self.vm_list = vm_list
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application()
+        resource = "/resources/{kind}/{name}"
+        app.router.add_get("/resources", _answering(self._list))
+        app.router.add_get("/resources/{kind}", _answering(self._list))
+        app.router.add_get(resource, _answering(self._get))
+        app.router.add_put(resource, _answering(self._apply))
+        app.router.add_get(f"{resource}/status", _answering(self._status))
+        app.router.add_get("/budgets/{name}", _answering(self._budget))
+        app.router.add_get("/explain/{workspace}", _answering(self._explain))
+        app.router.add_get("/healthz", _answering(_healthy))
+        return app
+
+    async def _list(self, request: web.Request) -> ListReply:
+        kind = request.match_info.get("kind", "")
+        resources = await list_resources(self.table, kind)
+        return ListReply(tuple(map(reply_of, resources)))
+
+    async def _get(self, request: web.Request) -> object:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        resource = await read_resource(self.table, kind, name)
+        if resource is None:
+            raise NotFoundError(f"{kind} {name} does not exist; apply it first")
+        return reply_of(resource)
+
+    async def _apply(self, request: web.Request) -> object:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        if not NAME.match(name):
+            raise InvalidResourceError(
+                f"name {name!r}: use lower-case letters, digits, dots and hyphens"
+            )
+        body = decode_apply(await request.read())
+        wanted = Declaration(
+            kind=kind,
+            name=name,
+            spec=decode_spec(kind, bytes(body.spec)),
+            generation=body.generation,
+            operation=body.operation or uuid.uuid4().hex,
+        )
+        resource = await apply_resource(self.table, wanted)
+        log_event(
+            Event.RESOURCE_ACCEPTED,
+            kind=kind,
+            name=name,
+            generation=resource.generation,
+            revision=resource.revision,
+        )
+        return reply_of(resource)
+
+    async def _status(self, request: web.Request) -> StatusReply:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        resource = await read_resource(self.table, kind, name)
+        if resource is None:
+            raise NotFoundError(f"{kind} {name} does not exist; apply it first")
+        entries = await self.vm_list.fetch()
+        listed = [MemberVm(e.vm, e.data_centre, e.address) for e in entries]
+        confirmed = await read_confirmations(self.table)
+        missing = missing_confirmations(listed, confirmed, resource.revision)
+        return StatusReply(
+            kind=kind,
+            name=name,
+            revision=resource.revision,
+            in_force=not missing,
+            waits_for=tuple(Awaited(vm.vm, vm.data_centre) for vm in missing),
+        )
+
+    async def _budget(self, request: web.Request) -> BudgetReply:
+        name = request.match_info["name"]
+        row = await read_budget(self.table, name)
+        if row is None:
+            raise NotFoundError(f"budget {name} does not exist; apply it first")
+        grants = await self.table.scan(f"grant/{name}/", "", GRANT_PAGE_ROWS)
+        return BudgetReply(name, row, row.available, len(grants))
+
+    async def _explain(self, request: web.Request) -> ExplainReply:
+        workspace = request.match_info["workspace"]
+        bills = await bills_of_workspace(self.objects, workspace)
+        return ExplainReply(workspace, total_tokens(bills), bills)
+
+
+async def _healthy(_request: web.Request) -> str:
+    return "ok"
+
+
+def _answering(handler: Handler) -> Callable[[web.Request], Awaitable[web.Response]]:
+    """Returns a handler that encodes its answer, or its error as a problem."""
+
+    async def answer(request: web.Request) -> web.Response:
+        try:
+            body = msgspec.json.encode(await handler(request))
+            return web.Response(body=body, content_type="application/json")
+        except VerbenagradeError as error:
+            problem = problem_of(error)
+            return web.Response(
+                status=problem.status,
+                body=encode_problem(problem),
+                content_type="application/problem+json",
+            )
+
+    return answer
--- /dev/null
+++ b/verbenagrade/transport/peer_server.py
@@ -0,0 +1,94 @@
+"""Answers other instances: one task for each connection."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from verbenagrade.exceptions import VerbenagradeError
+from verbenagrade.protocol.peer import (
+    Frame,
+    Hello,
+    decode_body,
+    decode_frame,
+    encode_frame,
+)
+from verbenagrade.state.identity import Instance
+from verbenagrade.state.membership import Members
+from verbenagrade.state.messages import Answer, Message
+from verbenagrade.transport.frames import read_frame, write_frame
+
+__all__ = ["PeerServer"]
+
+Handle = Callable[[Message], Awaitable[Answer]]
+
+
+class PeerServer:
+    """The listening side of this instance."""
+
+    def __init__(self, own: Instance, members: Members, handle: Handle) -> None:
+        self.own = own
+        self.members = members
+        self.handle = handle
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, address: str, port: int) -> None:
+        """Listens; raises ``OSError`` if another process has the port."""
+        self.server = await asyncio.start_server(
+            self._serve, address, port, reuse_address=True
+        )
+
+    async def stop(self) -> None:
+        """Stops listening and closes all connections."""
+        if self.server is None:
+            return
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.writers.add(writer)
+        try:
+            if await self._greet(reader, writer):
+                await self._answer_all(reader, writer)
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _greet(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        data = await read_frame(reader)
+        if data is None:
+            return False
+        try:
+            theirs = msgspec.msgpack.decode(data, type=Hello)
+        except msgspec.DecodeError:
+            return False
+        self.members.saw(theirs.instance)
+        own = Hello(self.own, self.members.own.data_centre)
+        write_frame(writer, msgspec.msgpack.encode(own))
+        return True
+
+    async def _answer_all(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while (data := await read_frame(reader)) is not None:
+            task = asyncio.create_task(self._answer(decode_frame(data), writer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _answer(self, frame: Frame, writer: asyncio.StreamWriter) -> None:
+        try:
+            answer = await self.handle(decode_body(frame))
+        except VerbenagradeError:
+            writer.close()
+            return
+        if not writer.is_closing():
+            write_frame(writer, encode_frame(frame.correlation, answer))
--- /dev/null
+++ b/verbenagrade/transport/router.py
@@ -0,0 +1,212 @@
+"""A router: its connections, its periodic work and its graceful shutdown."""
+
+import asyncio
+import time
+
+import aiohttp
+from aiohttp import web
+
+from verbenagrade.coordination.desk import Desk
+from verbenagrade.coordination.heartbeats import Heartbeats
+from verbenagrade.coordination.instance import FleetInstance
+from verbenagrade.coordination.refresh import refresh_catalogue, refresh_members
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import PlatformError
+from verbenagrade.settings import RouterSettings
+from verbenagrade.state.catalogue import Catalogue
+from verbenagrade.state.identity import Instance
+from verbenagrade.state.membership import Members, MemberVm
+from verbenagrade.state.routing import EndpointTable
+from verbenagrade.transport.background import Background
+from verbenagrade.transport.callers import CallersSide, RouterStatus
+from verbenagrade.transport.chat import ChatService
+from verbenagrade.transport.engines import EndpointClient
+from verbenagrade.transport.peer_client import PeerClient
+from verbenagrade.transport.peer_server import PeerServer
+from verbenagrade.transport.platform import (
+    object_store_port,
+    table_port,
+    vm_list_port,
+)
+from verbenagrade.transport.services import ServiceGateway
+
+__all__ = ["Router"]
+
+MS_PER_S = 1000
+POLL_S = 0.1
+STATUS_LOG_S = 5.0
+
+
+class Router:
+    """All parts of one router process."""
+
+    def __init__(self, settings: RouterSettings) -> None:
+        self.settings = settings
+        self.clock = time.time
+        self.instance = Instance(settings.vm, int(self.clock() * MS_PER_S))
+        own = MemberVm(settings.vm, settings.data_centre, settings.address)
+        self.members = Members(own)
+        self.catalogue = Catalogue()
+        self.background = Background(self.instance.incarnation)
+        self.platform_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(local_addr=(settings.address, 0))
+        )
+        self.endpoint_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+        self.table = table_port(self.platform_session, settings.platform)
+        self.peers = PeerClient(
+            self.instance,
+            self.members,
+            settings.peer_port,
+            settings.timing.peer_timeout_s,
+        )
+        self.fleet = FleetInstance(
+            instance=self.instance,
+            members=self.members,
+            table=self.table,
+            objects=object_store_port(self.platform_session, settings.platform),
+            call=self.peers.call,
+            limits=settings.limits,
+            clock=self.clock,
+        )
+        self.heartbeats = Heartbeats(
+            self.fleet, self.table, self.peers.call, self.instance.incarnation
+        )
+        self.peer_server = PeerServer(self.instance, self.members, self.fleet.handle)
+        self.callers = self._callers_side()
+        self.runner = web.AppRunner(self.callers.application(), access_log=None)
+
+    async def run(self, stop: asyncio.Event, force: asyncio.Event) -> None:
+        """Serves until ``stop``, then shuts down gracefully or until ``force``.
+
+        Raises what a periodic task failed with, ``FencedError`` among them.
+        """
+        await self._start()
+        log_event(Event.PROCESS_STARTED, instance=self.instance.name)
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait(
+            {stopping, self.background.failure}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if self.background.failure.done():
+            self.background.failure.result()
+        await self._shut_down(force)
+        log_event(Event.PROCESS_STOPPED, instance=self.instance.name)
+
+    def status(self) -> RouterStatus:
+        """Returns what operators may want to know."""
+        holdings = self.fleet.holder.holdings.values()
+        spender = self.fleet.spender
+        now = self.clock()
+        suspects = self.members.suspect_until.items()
+        return RouterStatus(
+            instance=self.instance.name,
+            data_centre=self.settings.data_centre,
+            revision=self.catalogue.revision,
+            stopping=self.callers.stopping,
+            waits_for=self._waits_for(),
+            in_flight=self.callers.in_flight,
+            unsettled_attempts=len(spender.open) + len(spender.bills),
+            unwritten_bills=self.fleet.holder.journal.state.depth(),
+            grants=sum(1 for holding in holdings if holding.amount),
+            granted_tokens=sum(holding.amount for holding in holdings),
+            reserved_tokens=sum(holding.reserved for holding in holdings),
+            table_operations=self.fleet.holder.table_operations,
+            suspected_vms=tuple(vm for vm, until in suspects if until > now),
+        )
+
+    def _callers_side(self) -> CallersSide:
+        timing = self.settings.timing
+        endpoints = EndpointTable(self.settings.data_centre, self.instance.incarnation)
+        desk = Desk(self.fleet.spender, endpoints, timing.patience_s, self.clock)
+        client = EndpointClient(
+            self.endpoint_session, timing.connect_s, timing.progress_s
+        )
+        chat = ChatService(desk, client, self.catalogue, timing.progress_s)
+        services = ServiceGateway(
+            desk, client, self.catalogue, self.table, self.background
+        )
+        return CallersSide(
+            chat, services, self.catalogue, self.settings.limits, self.status
+        )
+
+    async def _start(self) -> None:
+        settings = self.settings
+        await self.peer_server.start(settings.address, settings.peer_port)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, settings.address, settings.caller_port)
+        await site.start()
+        timing = settings.timing
+        every = self.background.every
+        every(timing.vm_list_s, self._refresh_members)
+        every(timing.configuration_s, self._refresh_catalogue)
+        every(timing.heartbeat_s, self.heartbeats.beat)
+        every(timing.settle_s, self.fleet.spender.settle)
+        every(timing.journal_s, self.fleet.holder.journal.flush)
+        every(timing.tend_s, self.fleet.holder.tend)
+        await self._first_refresh()
+
+    async def _first_refresh(self) -> None:
+        """Reads members and configuration once, if the platform is there."""
+        try:
+            await self._refresh_members()
+            await self._refresh_catalogue()
+        except PlatformError as error:
+            log_event(Event.PLATFORM_AWAY, reason=str(error))
+
+    async def _refresh_members(self) -> None:
+        vm_list = vm_list_port(self.platform_session, self.settings.platform)
+        await refresh_members(vm_list, self.members)
+
+    async def _refresh_catalogue(self) -> None:
+        await refresh_catalogue(self.table, self.catalogue)
+        self.fleet.revision = self.catalogue.revision
+
+    def _waits_for(self) -> tuple[str, ...]:
+        """Names what a graceful shutdown still has to wait for."""
+        fleet = self.fleet
+        waits = {
+            "requests in flight": self.callers.in_flight,
+            "bills not yet durable": len(fleet.spender.bills),
+            "bills not yet written": fleet.holder.journal.state.depth(),
+            "reservations of other instances": sum(
+                len(holding.open) for holding in fleet.holder.holdings.values()
+            ),
+            "table writes": len(self.background.unfinished),
+        }
+        return tuple(f"{count} {what}" for what, count in waits.items() if count)
+
+    async def _shut_down(self, force: asyncio.Event) -> None:
+        log_event(Event.PROCESS_STOPPING, instance=self.instance.name)
+        self.callers.stopping = True
+        self.fleet.holder.stopping = True
+        draining = asyncio.create_task(self._drain())
+        forced = asyncio.create_task(force.wait())
+        await asyncio.wait({draining, forced}, return_when=asyncio.FIRST_COMPLETED)
+        if not draining.done():
+            log_event(Event.SHUTDOWN_FORCED, waits_for=self._waits_for())
+            draining.cancel()
+        forced.cancel()
+        await self._close()
+
+    async def _drain(self) -> None:
+        """Waits until nothing is in flight, billed or granted here any more."""
+        next_log = 0.0
+        while True:
+            waits_for = self._waits_for()
+            if not waits_for and await self.fleet.holder.return_all():
+                return
+            if waits_for and self.clock() >= next_log:
+                log_event(Event.SHUTDOWN_WAITING, waits_for=waits_for)
+                next_log = self.clock() + STATUS_LOG_S
+            await self.fleet.spender.settle()
+            await self.fleet.holder.journal.flush()
+            await asyncio.sleep(POLL_S)
+
+    async def _close(self) -> None:
+        self.background.stop()
+        await self.runner.cleanup()
+        await self.peer_server.stop()
+        self.peers.close()
+        await self.endpoint_session.close()
+        await self.platform_session.close()
