Bill nothing twice when a holder is recovered

Second cause: claims whose answer was lost were not given again.

Each reservation now names the first batch that can hold its bill, and the recoverer reads from there.

--- a/verbenagrade/coordination/desk.py
+++ b/verbenagrade/coordination/desk.py
@@ -122,6 +122,7 @@
             prompt_tokens=min(used.prompt_tokens, limit),
             outcome=used.outcome,
             at=self.clock(),
+            journal_from=admission.reserved.journal_from,
         )
         self.spender.finish(bill)
         log_event(
@@ -150,7 +151,12 @@
         log_event(Event.REQUEST_RESUMED, request=ask.request, attempt=earlier.attempt)
         for endpoint in ask.pool.endpoints:
             if endpoint.name == earlier.endpoint:
-                reserved = Reserved(earlier.attempt, earlier.tokens, earlier.grant)
+                reserved = Reserved(
+                    earlier.attempt,
+                    earlier.tokens,
+                    earlier.grant,
+                    earlier.journal_from,
+                )
                 self.endpoints.started(endpoint.name)
                 return Admission(ask, endpoint, reserved, earlier=True)
         raise UpstreamUnreachableError(
--- a/verbenagrade/coordination/holder.py
+++ b/verbenagrade/coordination/holder.py
@@ -122,7 +122,7 @@
         if order.spender == self.instance and not holding.solo:
             holding.wants_solo = True
             return Insufficient(0, 0)
-        return holding.reserve(order, self.clock())
+        return holding.reserve(order, self.clock(), self.journal.next_sequence())
 
     def settle(self, message: Settle) -> SettleReply:
         """Takes bills and releases; names those that are done with for good."""
--- a/verbenagrade/coordination/ledger.py
+++ b/verbenagrade/coordination/ledger.py
@@ -4,7 +4,12 @@
 
 from verbenagrade.coordination.codec import decode_row
 from verbenagrade.coordination.ports import ObjectStore
-from verbenagrade.state.bills import Bill, JournalBatch, journal_prefix
+from verbenagrade.state.bills import (
+    Bill,
+    JournalBatch,
+    batch_key,
+    journal_prefix,
+)
 from verbenagrade.state.identity import Instance
 
 __all__ = ["bills_of_workspace", "journal_batches", "total_tokens"]
@@ -13,14 +18,14 @@
 
 
 async def journal_batches(
-    objects: ObjectStore, writer: Instance | None = None
+    objects: ObjectStore, writer: Instance | None = None, first: int = 0
 ) -> AsyncIterator[JournalBatch]:
-    """Yields the batches of one instance, or of all, in order.
+    """Yields the batches of one instance from ``first`` on, or all of all.
 
     Raises ``PlatformError`` if the object store is away.
     """
     prefix = journal_prefix(writer) if writer else ALL_JOURNALS
-    after = ""
+    after = batch_key(writer, first - 1) if writer and first else ""
     while names := await objects.names(prefix, after):
         for name in names:
             data = await objects.get(name)
--- a/verbenagrade/coordination/orphans.py
+++ b/verbenagrade/coordination/orphans.py
@@ -73,5 +73,6 @@
         prompt_tokens=count.prompt_tokens,
         outcome="orphaned",
         at=now,
+        journal_from=reservation.journal_from,
     )
     holder.take_bill(bill, now)
--- a/verbenagrade/coordination/recovery.py
+++ b/verbenagrade/coordination/recovery.py
@@ -153,8 +153,9 @@
         writer = Instance.parse(stored.journal)
         found = [
             bill
-            async for batch in journal_batches(self.objects, writer)
-            if batch.sequence >= stored.journal_from
+            async for batch in journal_batches(
+                self.objects, writer, stored.journal_from
+            )
             for bill in batch.bills
             if bill.grant == grant
         ]
@@ -168,17 +169,19 @@
             f"{registration.instance.name}"
             for registration in living
             for writer in (lost.instance, *lost.recoverers[:-1])
-            if not await self._claim(registration, writer)
+            if not await self._claim(lost, registration, writer)
         ]
         if missing:
             self._log_waiting(lost, missing)
         return not missing
 
-    async def _claim(self, registration: Registration, writer: Instance) -> bool:
+    async def _claim(
+        self, lost: Registration, registration: Registration, writer: Instance
+    ) -> bool:
         """Takes the claims of one instance; false if it has not answered."""
         message = Claims(writer, self.holder.instance)
         if registration.instance == self.holder.instance:
-            self._take_claims(self.spender.claims(message))
+            await self._take_claims(lost, self.spender.claims(message))
             return self.holder.orphans_of(writer) == 0
         member = MemberVm(
             registration.instance.vm, registration.data_centre, registration.address
@@ -189,20 +192,39 @@
             return False
         if not isinstance(answer, ClaimsReply):
             return False
-        self._take_claims(answer)
+        await self._take_claims(lost, answer)
         return answer.orphans == 0
 
     def _log_waiting(self, lost: Registration, waits_for: Iterable[str]) -> None:
         names = tuple(waits_for)
         log_event(Event.RECOVERY_WAITING, lost=lost.instance.name, waits_for=names)
 
-    def _take_claims(self, claims: ClaimsReply) -> None:
+    async def _take_claims(self, lost: Registration, claims: ClaimsReply) -> None:
+        """Adopts what is claimed, except for what is in a journal already."""
+        claimed = (*claims.reservations, *claims.bills)
+        if not claimed:
+            return
+        first = min(item.journal_from for item in claimed)
+        attempts = {reservation.order.attempt for reservation in claims.reservations}
+        attempts.update(bill.attempt for bill in claims.bills)
+        await self._mark_journaled(lost.instance, first, attempts)
+        for recoverer in lost.recoverers[:-1]:
+            await self._mark_journaled(recoverer, 0, attempts)
         for reservation in claims.reservations:
             self._adopt_reservation(reservation)
         for bill in claims.bills:
             self._adopt_reservation(_reservation_for(bill))
             self.holder.take_bill(bill, bill.at)
 
+    async def _mark_journaled(
+        self, writer: Instance, first: int, claimed: set[str]
+    ) -> None:
+        async for batch in journal_batches(self.objects, writer, first):
+            for bill in batch.bills:
+                holding = self.holder.holdings.get(bill.grant)
+                if holding is not None and bill.attempt in claimed:
+                    holding.mark_ended(bill.attempt)
+
     def _adopt_reservation(self, reservation: Reservation) -> None:
         holding = self.holder.holdings.get(reservation.grant)
         if holding is not None:
@@ -250,4 +272,4 @@
         tokens=bill.tokens,
         minimum=bill.tokens,
     )
-    return Reservation(order, bill.tokens, bill.at, bill.grant)
+    return Reservation(order, bill.tokens, bill.at, bill.grant, bill.journal_from)
--- a/verbenagrade/coordination/spender.py
+++ b/verbenagrade/coordination/spender.py
@@ -81,6 +81,7 @@
         self.holder_of: dict[str, Instance] = {}
         self.bills: dict[str, Bill] = {}
         self.releases: dict[str, Release] = {}
+        self.taken_from: dict[str, Instance] = {}
         self.fenced: set[Instance] = set()
 
     async def reserve(self, order: ReserveOrder) -> Reserved | Earlier:
@@ -133,9 +134,15 @@
     def claims(self, message: Claims) -> ClaimsReply:
         """Gives up a lost holder and names all that is held from it."""
         self.fenced.add(message.lost)
-        attempts = [a for a, h in self.holder_of.items() if h == message.lost]
-        for attempt in attempts:
-            self.holder_of[attempt] = message.recoverer
+        for attempt, holder in self.holder_of.items():
+            if holder == message.lost:
+                self.holder_of[attempt] = message.recoverer
+                self.taken_from[attempt] = message.lost
+        attempts = [
+            attempt
+            for attempt, lost in self.taken_from.items()
+            if lost == message.lost and attempt in self.holder_of
+        ]
         reservations = tuple(self.open[a] for a in attempts if a in self.open)
         bills = tuple(self.bills[a] for a in attempts if a in self.bills)
         return ClaimsReply(reservations, bills)
@@ -180,7 +187,11 @@
                 return None
             self.holder_of[answer.attempt] = owner
             self.open[answer.attempt] = Reservation(
-                order, answer.tokens, self.clock(), answer.grant
+                order,
+                answer.tokens,
+                self.clock(),
+                answer.grant,
+                answer.journal_from,
             )
             log_event(Event.HOLDER_CHOSEN, attempt=answer.attempt, holder=owner.name)
             earlier = earlier_of(order, answer, owner)
@@ -218,10 +229,14 @@
     def _settled(self, reply: SettleReply) -> None:
         for attempt in reply.durable:
             self.bills.pop(attempt, None)
-            self.holder_of.pop(attempt, None)
+            self._forget(attempt)
         for attempt in reply.released:
             self.releases.pop(attempt, None)
-            self.holder_of.pop(attempt, None)
+            self._forget(attempt)
+
+    def _forget(self, attempt: str) -> None:
+        self.holder_of.pop(attempt, None)
+        self.taken_from.pop(attempt, None)
 
 
 def _refusal(
--- a/verbenagrade/state/bills.py
+++ b/verbenagrade/state/bills.py
@@ -12,7 +12,8 @@
     """What one attempt used, charged to one grant.
 
     ``attempt`` identifies the bill. ``tokens`` counts prompt and answer.
-    ``at`` is in seconds since the epoch.
+    ``at`` is in seconds since the epoch. No batch of the grant's owner below
+    ``journal_from`` has this bill.
     """
 
     attempt: str
@@ -24,6 +25,7 @@
     prompt_tokens: int
     outcome: str
     at: float
+    journal_from: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenagrade/state/holding.py
+++ b/verbenagrade/state/holding.py
@@ -7,7 +7,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from verbenagrade.state.bills import Bill
@@ -59,15 +59,20 @@
     tokens: int
     at: float
     grant: GrantId
+    journal_from: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Reserved:
-    """The attempt may run within ``tokens``, charged to ``grant``."""
+    """The attempt may run within ``tokens``, charged to ``grant``.
+
+    Its bill will be in no batch of the holder below ``journal_from``.
+    """
 
     attempt: str
     tokens: int
     grant: GrantId
+    journal_from: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +95,7 @@
     tokens: int
     grant: GrantId
     holder: Instance
+    journal_from: int = 0
 
 
 def earlier_of(order: ReserveOrder, answer: Reserved, holder: Instance) -> Earlier:
@@ -100,6 +106,7 @@
         tokens=answer.tokens,
         grant=answer.grant,
         holder=holder,
+        journal_from=answer.journal_from,
     )
 
 
@@ -143,18 +150,21 @@
         """The tokens that cannot be returned: reserved, or billed not durably."""
         return self.spent - self.durable_spent + self.reserved
 
-    def reserve(self, order: ReserveOrder, now: float) -> Reserved | Insufficient:
+    def reserve(
+        self, order: ReserveOrder, now: float, journal_from: int = 0
+    ) -> Reserved | Insufficient:
         """Sets tokens aside; a replay of the same attempt gets the same answer."""
         known = self.open.get(order.attempt)
         if known is not None:
-            return Reserved(order.attempt, known.tokens, self.grant)
+            return _answer_of(known)
         if order.attempt in self.ended:
             return Insufficient(0, self.reserved)
         tokens = min(order.tokens, self.unreserved)
         if tokens < order.minimum:
             return Insufficient(max(0, self.unreserved), self.reserved)
-        self._open(Reservation(order, tokens, now, self.grant))
-        return Reserved(order.attempt, tokens, self.grant)
+        reservation = Reservation(order, tokens, now, self.grant, journal_from)
+        self._open(reservation)
+        return _answer_of(reservation)
 
     def begin_adjustment(
         self, need: int, wish: int, journal: str, journal_from: int
@@ -215,6 +225,11 @@
             self._end(bill.attempt)
         self.durable_spent = self.spent
 
+    def mark_ended(self, attempt: str) -> None:
+        """Records an attempt that is billed already, so that it is not again."""
+        if attempt not in self.open:
+            self._end(attempt)
+
     def adopt(self, reservation: Reservation) -> None:
         """Takes over a reservation that a lost holder had made."""
         attempt = reservation.order.attempt
@@ -232,17 +247,8 @@
         self.demand.add(tokens, now)
         if tokens == bill.tokens:
             return Settlement.BILLED, bill
-        capped = Bill(
-            attempt=bill.attempt,
-            request=bill.request,
-            workspace=bill.workspace,
-            grant=bill.grant,
-            endpoint=bill.endpoint,
-            tokens=tokens,
-            prompt_tokens=min(bill.prompt_tokens, tokens),
-            outcome=bill.outcome,
-            at=bill.at,
-        )
+        prompt_tokens = min(bill.prompt_tokens, tokens)
+        capped = replace(bill, tokens=tokens, prompt_tokens=prompt_tokens)
         return Settlement.CAPPED, capped
 
     def release(self, attempt: str) -> None:
@@ -265,3 +271,12 @@
         self.ended[attempt] = None
         if len(self.ended) > ENDED_ATTEMPTS_KEPT:
             self.ended.popitem(last=False)
+
+
+def _answer_of(reservation: Reservation) -> Reserved:
+    return Reserved(
+        attempt=reservation.order.attempt,
+        tokens=reservation.tokens,
+        grant=reservation.grant,
+        journal_from=reservation.journal_from,
+    )
