--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; none of them asserts anything about time."""
--- /dev/null
+++ b/benchmarks/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""Compares ways to keep spend inside prepaid budgets, under seeded load."""
--- /dev/null
+++ b/benchmarks/budgets/load.py
@@ -0,0 +1,121 @@
+"""Seeded load: requests with an upper bound and an actual use."""
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+__all__ = ["DATA_CENTRES", "Arrival", "Fault", "Scenario", "arrivals", "scenarios"]
+
+DATA_CENTRES = ("one", "two", "three")
+BUDGETS = 10
+TOKEN_S = 0.02
+MINUTE_S = 60.0
+HOUR_S = 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request; ``used`` is known to nobody before its end, at ``ends``."""
+
+    at: float
+    ends: float
+    number: int
+    budget: str
+    data_centre: str
+    bound: int
+    used: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that goes wrong for a while; times in seconds."""
+
+    kind: str
+    starts: float
+    ends: float
+    data_centre: str = ""
+    tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A load, the budgets it draws on and the faults that meet it.
+
+    ``lasts_s`` is how long a budget covers its demand from the start on, and
+    ``rate`` gives requests a second at a time.
+    """
+
+    name: str
+    duration_s: float
+    lasts_s: float
+    rate: Callable[[float], float]
+    shares: tuple[float, ...] = (0.4, 0.35, 0.25)
+    faults: tuple[Fault, ...] = field(default=())
+
+
+def steady(_at: float) -> float:
+    """Returns the same rate at all times."""
+    return 4.0
+
+
+def bursty(at: float) -> float:
+    """Returns a rate with a burst of a minute in every ten."""
+    return 16.0 if at % (10 * MINUTE_S) < MINUTE_S else 2.0
+
+
+def scenarios() -> tuple[Scenario, ...]:
+    """Returns all scenarios in the order of the report."""
+    cut = Fault("cut", 1200.0, 1200.0 + HOUR_S, "one")
+    short_cut = Fault("cut", 600.0, 900.0, "one")
+    away = Fault("away", 600.0, 600.0 + HOUR_S / 2)
+    top_up = Fault("top_up", 900.0, 900.0, tokens=400_000)
+    lost = Fault("lost", 600.0, 606.0, "one")
+    flapping = tuple(
+        Fault("away", start, start + 4.0) for start in range(300, 2400, 30)
+    )
+    skew = (0.9, 0.07, 0.03)
+    hour, half = HOUR_S, HOUR_S / 2
+    return (
+        Scenario("steady", half, 3 * hour, steady),
+        Scenario("bursty", half, 3 * hour, bursty),
+        Scenario("skewed to one centre", half, 3 * hour, steady, skew),
+        Scenario("budget nearly spent", half, 0.4 * hour, steady),
+        Scenario("nearly spent and skewed", half, 0.4 * hour, steady, skew),
+        Scenario("cut off for minutes", half, 3 * hour, steady, faults=(short_cut,)),
+        Scenario("cut off for an hour", 5400.0, 3 * hour, steady, faults=(cut,)),
+        Scenario("holder lost", half, 3 * hour, steady, faults=(lost,)),
+        Scenario("table down", 3000.0, 3 * hour, steady, faults=(away,)),
+        Scenario("table flapping", half, 3 * hour, steady, faults=flapping),
+        Scenario(
+            "top-up while cut off",
+            half,
+            0.3 * hour,
+            steady,
+            faults=(Fault("cut", 600.0, 1500.0, "one"), top_up),
+        ),
+    )
+
+
+def arrivals(scenario: Scenario, seed: int) -> Iterator[Arrival]:
+    """Yields a scenario's requests in the order of their arrival."""
+    chooser = random.Random(f"{scenario.name}-{seed}")
+    weights = [1.0 / (rank + 1) for rank in range(BUDGETS)]
+    at = 0.0
+    number = 0
+    while True:
+        at += chooser.expovariate(scenario.rate(at))
+        if at >= scenario.duration_s:
+            return
+        number += 1
+        answer_bound = chooser.choice((256, 512, 1024))
+        answer = int(answer_bound * chooser.betavariate(1.5, 3.0)) + 1
+        prompt = int(chooser.lognormvariate(5.0, 0.8)) + 8
+        yield Arrival(
+            at=at,
+            ends=at + 0.2 + answer * TOKEN_S,
+            number=number,
+            budget=f"budget-{chooser.choices(range(BUDGETS), weights)[0]}",
+            data_centre=chooser.choices(DATA_CENTRES, scenario.shares)[0],
+            bound=prompt * 4 + answer_bound,
+            used=prompt + answer,
+        )
--- a/verbenagrade/tests/standins/platform.py
+++ b/verbenagrade/tests/standins/platform.py
@@ -70,10 +70,10 @@
                 return TransactReply(False)
         self.counts.writes += 1
         for write in body.writes:
-            self._put(write.key, write.value)
+            self.put(write.key, write.value)
         return TransactReply(True)
 
-    def _put(self, key: str, value: bytes | None) -> None:
+    def put(self, key: str, value: bytes | None) -> None:
         self.version += 1
         if value is None:
             if self.rows.pop(key, None):
