Leave rows alone when an adjustment changes nothing

Cause: a holder that asks an exhausted budget wrote both rows to raise the operation number. Ruled out: a longer pause between asks, which would refuse for longer after a top-up.

--- a/verbenagrade/state/budgets.py
+++ b/verbenagrade/state/budgets.py
@@ -102,6 +102,8 @@
 def adjust(budget: BudgetRow, grant: GrantRow, order: Adjustment) -> Adjusted:
     """Settles, draws and returns in one step.
 
+    An order that changes nothing leaves its number unused.
+
     >>> done = adjust(BudgetRow(100, 100), GrantRow(),
     ...     Adjustment(1, spent=0, keep=0, need=10, wish=80, share=0.5))
     >>> done.grant.amount, done.budget.available
@@ -117,6 +119,8 @@
     )
     unspent = grant.amount - order.spent
     change = _change_of_holding(settled, unspent, order)
+    if not newly_spent and not change and _is_kept_by(grant, order):
+        return Adjusted(budget, grant)
     moved = replace(settled, committed=settled.committed + change)
     new_grant = GrantRow(
         amount=grant.amount + change,
@@ -129,6 +133,10 @@
     return Adjusted(retarget(moved, moved.target), new_grant)
 
 
+def _is_kept_by(grant: GrantRow, order: Adjustment) -> bool:
+    return grant.journal == order.journal and (grant.solo or not order.solo)
+
+
 def _change_of_holding(budget: BudgetRow, unspent: int, order: Adjustment) -> int:
     """Returns the tokens to draw, or to give back where negative."""
     headroom = max(0, budget.target - budget.committed - budget.spent)
