Keep one holder a budget and data centre, with a witness

Cause: a spender never reserved with itself, so each data centre had two holders of a budget and could not use the second one's tokens when cut off. Near the end of a budget, rests too small for a request lay at several holders.

Now the first VM by rendezvous hashing is the holder for all; what it gives itself another instance witnesses. A holder that can't meet a need returns its rest, so that the next one asked can add it to its own.

A recovered grant whose tokens were all spent was never closed; test_holder_killed_with_bills_and_reservations found it.

--- a/verbenagrade/coordination/holder.py
+++ b/verbenagrade/coordination/holder.py
@@ -20,6 +20,7 @@
     Earlier,
     Holding,
     Insufficient,
+    Reservation,
     Reserved,
     ReserveOrder,
     Settlement,
@@ -119,11 +120,12 @@
     ) -> Reserved | Insufficient | Denied:
         if holding.workspace is not None and holding.workspace != order.workspace:
             return Denied(Denial.UNKNOWN_BUDGET, 0, 0.0)
-        if order.spender == self.instance and not holding.solo:
-            holding.wants_solo = True
-            return Insufficient(0, 0)
         return holding.reserve(order, self.clock(), self.journal.next_sequence())
 
+    def reservation(self, answer: Reserved) -> Reservation:
+        """Returns an open reservation in full."""
+        return self.holdings[answer.grant].open[answer.attempt]
+
     def settle(self, message: Settle) -> SettleReply:
         """Takes bills and releases; names those that are done with for good."""
         now = self.clock()
@@ -198,7 +200,8 @@
     def _is_off_target(self, holding: Holding, now: float) -> bool:
         wish = self._wish(holding, now)
         if not self._is_own(holding):
-            return holding.unreserved > wish
+            settled = holding.claimed and holding.amount > 0 and not holding.bound
+            return settled or holding.unreserved > wish
         if holding.amount and wish == 0 and holding.unreserved > 0:
             return True
         reached = min(wish, holding.filled_to)
@@ -212,38 +215,51 @@
             return 0
         return wished_holding(holding.demand.rate(now), holding.policy)
 
-    def _wish_for(self, holding: Holding, need: int, now: float) -> int:
-        if not need:
+    def _wish_for(self, holding: Holding, comfort: int, now: float) -> int:
+        if not comfort:
             return self._wish(holding, now)
-        return max(need, holding.policy.minimum, self._wish(holding, now))
+        return max(comfort, holding.policy.minimum, self._wish(holding, now))
 
     def _is_own(self, holding: Holding) -> bool:
         return holding.grant.owner == self.instance
 
+    async def make_solo(self, budget: str) -> bool:
+        """Marks the own grant of a budget as spent without a witness.
+
+        The mark has to be in the table first; false if it could not be put there.
+        """
+        holding = self.holding(GrantId(budget, self.instance))
+        if not holding.solo:
+            holding.wants_solo = True
+            await self._adjust(holding, need=0)
+        return holding.solo
+
     async def _draw(self, holding: Holding, order: ReserveOrder) -> Denial:
         """Draws what an order needs, unless the table was asked just now."""
         grant = holding.grant
         waited_for = self.locks[grant].locked()
         async with self.locks[grant]:
-            if waited_for and holding.unreserved >= order.tokens:
+            if waited_for and holding.unreserved >= order.minimum:
                 return Denial.EXHAUSTED
             if self.quiet_until.get(grant, 0.0) > self.clock():
                 return self.last_denial[grant]
-            denial = await self._adjust_locked(holding, order.tokens)
+            denial = await self._adjust_locked(holding, order.minimum, order.tokens)
         return denial
 
     async def _adjust(self, holding: Holding, need: int) -> Denial:
         async with self.locks[holding.grant]:
             return await self._adjust_locked(holding, need)
 
-    async def _adjust_locked(self, holding: Holding, need: int) -> Denial:
+    async def _adjust_locked(
+        self, holding: Holding, need: int, comfort: int = 0
+    ) -> Denial:
         grant, now = holding.grant, self.clock()
         if not self.registered:
             return self._pause(grant, Denial.PLATFORM_AWAY, TABLE_PAUSE_S)
         resumes = holding.pending is not None
         order = holding.begin_adjustment(
             need=need,
-            wish=self._wish_for(holding, need, now),
+            wish=self._wish_for(holding, comfort, now),
             journal=self.instance.name,
             journal_from=self.journal.next_sequence(),
         )
@@ -260,11 +276,29 @@
         self._log_adjusted(holding, after.budget)
         self._notify(grant)
         if resumes:
-            return await self._adjust_locked(holding, need)
+            return await self._adjust_locked(holding, need, comfort)
+        if holding.unreserved < need:
+            await self._return_rest(holding)
         if after.budget.available == 0 or holding.unreserved < need:
             return self._pause(grant, Denial.EXHAUSTED, TABLE_PAUSE_S)
         return Denial.EXHAUSTED
 
+    async def _return_rest(self, holding: Holding) -> None:
+        """Returns what is too little here, for another holder to add to its own."""
+        if holding.unreserved <= 0:
+            return
+        order = holding.begin_adjustment(
+            0, 0, self.instance.name, self.journal.next_sequence()
+        )
+        try:
+            self.table_operations += 1
+            after = await adjust_grant(self.table, holding.grant, order)
+        except PlatformError as error:
+            log_event(Event.GRANT_DELAYED, grant=holding.grant.key, reason=str(error))
+            return
+        holding.finish_adjustment(after)
+        self._log_adjusted(holding, after.budget)
+
     def _log_adjusted(self, holding: Holding, budget: BudgetRow) -> None:
         log_event(
             Event.GRANT_ADJUSTED,
--- a/verbenagrade/coordination/instance.py
+++ b/verbenagrade/coordination/instance.py
@@ -18,6 +18,7 @@
     Replaced,
     Reserve,
     Settle,
+    Witness,
 )
 
 __all__ = ["FleetInstance"]
@@ -59,6 +60,8 @@
                 if message.holder != self.instance:
                     return Replaced(self.instance)
                 return self.holder.settle(message)
+            case Witness():
+                return self.spender.witness(message)
             case Claims():
                 claims = self.spender.claims(message)
                 return replace(claims, orphans=self.holder.orphans_of(message.lost))
--- a/verbenagrade/coordination/spender.py
+++ b/verbenagrade/coordination/spender.py
@@ -1,11 +1,12 @@
 """The spender's side: reserves before a run and settles after it.
 
-A spender never reserves with itself while another instance of its data centre
-answers. So every reservation and every bill is known on two VMs until the bill
-is durable, and the loss of one loses nothing.
+A spender that is the holder itself has another instance witness the reservation.
+So every reservation is known on two VMs until its bill is durable, and the loss
+of one loses nothing.
 """
 
 import asyncio
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
@@ -42,6 +43,8 @@
     Reserve,
     Settle,
     SettleReply,
+    Witness,
+    Witnessed,
 )
 
 __all__ = ["Call", "Spender", "SpenderLimits"]
@@ -82,6 +85,8 @@
         self.bills: dict[str, Bill] = {}
         self.releases: dict[str, Release] = {}
         self.taken_from: dict[str, Instance] = {}
+        self.witnessed: dict[str, Reservation] = {}
+        self.witness_of: dict[str, MemberVm] = {}
         self.fenced: set[Instance] = set()
 
     async def reserve(self, order: ReserveOrder) -> Reserved | Earlier:
@@ -129,6 +134,7 @@
         messages = map(self._settle_message, set(self.holder_of.values()))
         due = [m for m in messages if m.bills or m.releases]
         await asyncio.gather(*map(self._send_settle, due))
+        await self._end_witnessing()
         return not self.bills and not self.releases
 
     def claims(self, message: Claims) -> ClaimsReply:
@@ -143,15 +149,30 @@
             for attempt, lost in self.taken_from.items()
             if lost == message.lost and attempt in self.holder_of
         ]
-        reservations = tuple(self.open[a] for a in attempts if a in self.open)
+        reservations = [self.open[a] for a in attempts if a in self.open]
+        reservations += [
+            reservation
+            for reservation in self.witnessed.values()
+            if reservation.order.spender == message.lost
+            and reservation.grant.owner == message.lost
+        ]
         bills = tuple(self.bills[a] for a in attempts if a in self.bills)
-        return ClaimsReply(reservations, bills)
+        return ClaimsReply(tuple(reservations), bills)
+
+    def witness(self, message: Witness) -> Witnessed:
+        """Knows of reservations that another instance gave itself."""
+        for reservation in message.reservations:
+            self.witnessed[reservation.order.attempt] = reservation
+        for attempt in message.ended:
+            self.witnessed.pop(attempt, None)
+        return Witnessed()
 
     def _candidates(self, budget: str) -> tuple[MemberVm, ...]:
+        """Orders the holders to ask: two of this data centre, one of each other."""
         now = self.clock()
-        own_centre = self.members.own.data_centre
-        near = rank(budget, self.members.usable(own_centre, now))
-        chosen = list(near[:CANDIDATES_PER_DATA_CENTRE]) or [self.members.own]
+        own = self.members.own
+        near = rank(budget, (own, *self.members.usable(own.data_centre, now)))
+        chosen = list(near[:CANDIDATES_PER_DATA_CENTRE])
         for data_centre in self.members.other_data_centres():
             chosen.extend(rank(budget, self.members.usable(data_centre, now))[:1])
         return tuple(chosen)
@@ -160,8 +181,7 @@
         self, member: MemberVm, order: ReserveOrder
     ) -> Reserved | Earlier | Denied | None:
         if member.vm == self.instance.vm:
-            answer = await self.holder.reserve(order)
-            return self._accept(order, answer)
+            return await self._ask_own(order)
         try:
             answer = await self.call(member, Reserve(order))
         except PeerError as error:
@@ -169,6 +189,58 @@
             return None
         return self._accept(order, answer)
 
+    async def _ask_own(self, order: ReserveOrder) -> Reserved | Earlier | Denied | None:
+        """Reserves with the own holder, which another instance has to witness."""
+        answer = await self.holder.reserve(order)
+        if not isinstance(answer, Reserved):
+            return self._accept(order, answer)
+        reservation = self.holder.reservation(answer)
+        if await self._find_witness(reservation):
+            return self._accept(order, answer)
+        if await self.holder.make_solo(order.budget):
+            return self._accept(order, answer)
+        self.holder.release(Release(answer.attempt, order.budget))
+        return None
+
+    async def _find_witness(self, reservation: Reservation) -> bool:
+        """Tells another instance of a reservation; false if none can be told."""
+        attempt = reservation.order.attempt
+        for member in self._witnesses(reservation.order.budget):
+            self.witness_of[attempt] = member
+            try:
+                await self.call(member, Witness((reservation,)))
+            except PeerError as error:
+                self.members.suspect(member.vm, self.clock())
+                log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
+                continue
+            return True
+        self.witness_of.pop(attempt, None)
+        return False
+
+    def _witnesses(self, budget: str) -> tuple[MemberVm, ...]:
+        now = self.clock()
+        near = rank(budget, self.members.usable(self.members.own.data_centre, now))
+        far = [
+            member
+            for data_centre in self.members.other_data_centres()
+            for member in rank(budget, self.members.usable(data_centre, now))[:1]
+        ]
+        return (*near[:CANDIDATES_PER_DATA_CENTRE], *far)
+
+    async def _end_witnessing(self) -> None:
+        """Lets witnesses forget attempts that are settled for good."""
+        ended: dict[MemberVm, list[str]] = defaultdict(list)
+        for attempt, member in self.witness_of.items():
+            if attempt not in self.holder_of:
+                ended[member].append(attempt)
+        for member, attempts in ended.items():
+            try:
+                await self.call(member, Witness(ended=tuple(attempts)))
+            except PeerError:
+                continue
+            for attempt in attempts:
+                self.witness_of.pop(attempt, None)
+
     def _failed(self, member: MemberVm, order: ReserveOrder, error: PeerError) -> None:
         self.members.suspect(member.vm, self.clock())
         log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
--- a/verbenagrade/protocol/peer.py
+++ b/verbenagrade/protocol/peer.py
@@ -17,6 +17,8 @@
     Reserve,
     Settle,
     SettleReply,
+    Witness,
+    Witnessed,
 )
 
 __all__ = ["Frame", "Hello", "decode_body", "decode_frame", "encode_frame"]
@@ -32,6 +34,8 @@
         Denied,
         Earlier,
         SettleReply,
+        Witness,
+        Witnessed,
         ClaimsReply,
         HeartbeatReply,
         Replaced,
--- a/verbenagrade/state/__init__.py
+++ b/verbenagrade/state/__init__.py
@@ -61,6 +61,8 @@
     Reserve,
     Settle,
     SettleReply,
+    Witness,
+    Witnessed,
 )
 from verbenagrade.state.outcome import (
     RequestOutcome,
@@ -125,6 +127,8 @@
     "SettleReply",
     "Settlement",
     "Spec",
+    "Witness",
+    "Witnessed",
     "Workspace",
     "adjust",
     "batch_key",
--- a/verbenagrade/state/budgets.py
+++ b/verbenagrade/state/budgets.py
@@ -64,8 +64,9 @@
     """What a holder asks of the table for one grant.
 
     ``spent`` is the new running total. The holder cannot return the ``keep``
-    tokens that are reserved. It needs ``need`` unspent tokens at once and wishes
-    for ``wish``, but no more than ``share`` of what it has and what is available.
+    tokens that are reserved. It needs ``need`` unspent tokens at once, or nothing,
+    and wishes for ``wish``, but no more than ``share`` of what it has and what is
+    available.
     """
 
     operation: int
@@ -143,7 +144,9 @@
     if unspent > order.wish:
         floor = max(order.keep, order.wish)
         return min(0, floor - unspent)
-    urgent = min(headroom, max(0, order.need - unspent))
+    missing = max(0, order.need - unspent)
+    if missing > headroom:
+        return 0
     fair = int((headroom + unspent) * order.share)
     comfortable = min(fair, order.wish) - unspent
-    return max(urgent, comfortable, 0)
+    return max(missing, comfortable, 0)
--- a/verbenagrade/state/messages.py
+++ b/verbenagrade/state/messages.py
@@ -21,6 +21,8 @@
     "Reserve",
     "Settle",
     "SettleReply",
+    "Witness",
+    "Witnessed",
 ]
 
 
@@ -78,6 +80,22 @@
     released: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Witness:
+    """Asks another instance to know of reservations that a holder gave itself.
+
+    Those in ``ended`` need not be known any more.
+    """
+
+    reservations: tuple[Reservation, ...] = ()
+    ended: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Witnessed:
+    """The reservations are known, and the ended ones forgotten."""
+
+
 @dataclass(frozen=True, slots=True)
 class Claims:
     """Asks for all that a spender holds from a lost holder.
@@ -128,7 +146,14 @@
     current: Instance
 
 
-Message = Reserve | Settle | Claims | Heartbeat
+Message = Reserve | Settle | Witness | Claims | Heartbeat
 Answer = (
-    Reserved | Denied | Earlier | SettleReply | ClaimsReply | HeartbeatReply | Replaced
+    Reserved
+    | Denied
+    | Earlier
+    | SettleReply
+    | Witnessed
+    | ClaimsReply
+    | HeartbeatReply
+    | Replaced
 )
