Send each bill once, and look only at grants in use

Cause: with the platform away a spender sent every bill that was not durable again each period, and a holder looked at all its grants each second. Ruled out: longer periods, which delay the return of tokens.

--- a/verbenagrade/coordination/__init__.py
+++ b/verbenagrade/coordination/__init__.py
@@ -89,8 +89,12 @@
     register,
     take_recovery,
 )
-from verbenagrade.coordination.spender import (
+from verbenagrade.coordination.settlement import (
+    Account,
     Call,
+    Settlements,
+)
+from verbenagrade.coordination.spender import (
     Spender,
     SpenderLimits,
 )
@@ -99,8 +103,12 @@
     budget_key,
     read_budget,
 )
+from verbenagrade.coordination.witnesses import (
+    Witnesses,
+)
 
 __all__ = [
+    "Account",
     "Admission",
     "Ask",
     "AttemptCount",
@@ -124,6 +132,7 @@
     "Recovery",
     "Registration",
     "Row",
+    "Settlements",
     "Spender",
     "SpenderLimits",
     "Step",
@@ -131,6 +140,7 @@
     "Used",
     "VmEntry",
     "VmList",
+    "Witnesses",
     "Write",
     "adjust_grant",
     "apply_resource",
--- a/verbenagrade/coordination/desk.py
+++ b/verbenagrade/coordination/desk.py
@@ -95,8 +95,10 @@
         self.endpoints.ended(admission.endpoint.name)
         if unreachable:
             self.endpoints.failed(admission.endpoint.name, self.clock())
-        if not admission.earlier:
-            attempt = admission.reserved.attempt
+        attempt = admission.reserved.attempt
+        if admission.earlier:
+            self.spender.settlements.left(attempt)
+        else:
             self.spender.cancel(attempt, admission.ask.budget)
 
     def finish(self, admission: Admission, used: Used) -> None:
@@ -159,6 +161,7 @@
                 )
                 self.endpoints.started(endpoint.name)
                 return Admission(ask, endpoint, reserved, earlier=True)
+        self.spender.settlements.left(earlier.attempt)
         raise UpstreamUnreachableError(
             f"the endpoint {earlier.endpoint} that ran this request is gone"
         )
--- a/verbenagrade/coordination/heartbeats.py
+++ b/verbenagrade/coordination/heartbeats.py
@@ -9,7 +9,7 @@
 )
 from verbenagrade.coordination.instance import FleetInstance
 from verbenagrade.coordination.ports import Table
-from verbenagrade.coordination.spender import Call
+from verbenagrade.coordination.settlement import Call
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PeerError
 from verbenagrade.state.membership import MemberVm
--- a/verbenagrade/coordination/holder.py
+++ b/verbenagrade/coordination/holder.py
@@ -27,7 +27,14 @@
     earlier_of,
 )
 from verbenagrade.state.identity import GrantId, Instance
-from verbenagrade.state.messages import Denial, Denied, Release, Settle, SettleReply
+from verbenagrade.state.messages import (
+    Accepted,
+    Denial,
+    Denied,
+    Release,
+    Settle,
+    SettleReply,
+)
 
 __all__ = ["Holder", "HolderLimits"]
 
@@ -36,6 +43,8 @@
 FULL_RETRY_S = 1.0
 TABLE_PAUSE_S = 0.25
 REFILL_PART = 0.5
+SWEEP_TICKS = 30
+FORGET_S = 3600.0
 RETURN_FACTOR = 2.0
 
 
@@ -67,6 +76,9 @@
         self.changed: dict[GrantId, asyncio.Event] = {}
         self.quiet_until: dict[GrantId, float] = {}
         self.last_denial: dict[GrantId, Denial] = {}
+        self.recovered: set[GrantId] = set()
+        self.touched: set[GrantId] = set()
+        self.sweep: list[GrantId] = []
         self.registered = False
         self.stopping = False
         self.attempts = KnownAttempts()
@@ -74,11 +86,14 @@
 
     def holding(self, grant: GrantId) -> Holding:
         """Returns the holding of a grant, made empty if it is new."""
+        self.touched.add(grant)
         found = self.holdings.get(grant)
         if found is None:
             found = self.holdings[grant] = Holding(grant)
             self.locks[grant] = asyncio.Lock()
             self.changed[grant] = asyncio.Event()
+            if grant.owner != self.instance:
+                self.recovered.add(grant)
         return found
 
     async def reserve(self, order: ReserveOrder) -> Reserved | Earlier | Denied:
@@ -127,25 +142,25 @@
         return self.holdings[answer.grant].open[answer.attempt]
 
     def settle(self, message: Settle) -> SettleReply:
-        """Takes bills and releases; names those that are done with for good."""
+        """Takes bills and releases, and says which bills are durable."""
         now = self.clock()
         for bill in message.bills:
             self.take_bill(bill, now)
         for release in message.releases:
             self.release(release)
-        durable = tuple(
-            bill.attempt
+        accepted = tuple(
+            Accepted(bill.attempt, self.journal.place_of(bill.attempt))
             for bill in message.bills
-            if not self.journal.is_pending(bill.attempt)
         )
         released = tuple(release.attempt for release in message.releases)
-        return SettleReply(durable, released)
+        return SettleReply(accepted, released, self.journal.durable_below)
 
     def take_bill(self, bill: Bill, now: float) -> Settlement:
         """Bills an attempt once; ``now`` is in seconds since the epoch."""
         holding = self.holdings.get(bill.grant)
         if holding is None:
             return Settlement.ENDED_BEFORE
+        self.touched.add(bill.grant)
         settlement, billed = holding.settle(bill, now)
         if settlement is Settlement.ENDED_BEFORE:
             return settlement
@@ -178,14 +193,41 @@
         )
 
     async def tend(self) -> None:
-        """Refills grants that run low and returns what is not wanted."""
-        for holding in list(self.holdings.values()):
+        """Refills grants that run low and returns what is not wanted.
+
+        Looks at the grants used since the last time, and at a part of the
+        others, so that the cost does not grow with the number of idle ones.
+        """
+        for holding in self._due_holdings():
             now = self.clock()
+            if self._is_forgettable(holding, now):
+                self._forget(holding.grant)
+                continue
             if self.quiet_until.get(holding.grant, 0.0) > now:
                 continue
             if holding.pending is not None or self._is_off_target(holding, now):
                 await self._adjust(holding, need=0)
 
+    def _due_holdings(self) -> list[Holding]:
+        if not self.sweep:
+            self.sweep = list(self.holdings)
+        part = len(self.sweep) // SWEEP_TICKS + 1
+        due = self.touched.union(self.sweep[-part:])
+        del self.sweep[-part:]
+        self.touched = set()
+        return [self.holdings[grant] for grant in due if grant in self.holdings]
+
+    def _is_forgettable(self, holding: Holding, now: float) -> bool:
+        if holding.amount or holding.open or holding.pending is not None:
+            return False
+        return now - holding.demand.at > FORGET_S
+
+    def _forget(self, grant: GrantId) -> None:
+        for kept in (self.locks, self.changed, self.quiet_until, self.last_denial):
+            kept.pop(grant, None)
+        self.recovered.discard(grant)
+        del self.holdings[grant]
+
     async def return_all(self) -> bool:
         """Returns all that is not bound; false while anything is left."""
         self.stopping = True
@@ -321,7 +363,7 @@
 
     def release(self, release: Release) -> None:
         """Ends the reservation of an attempt of which nothing ran."""
-        for holding in self.holdings.values():
+        for holding in self._holdings_of(release.budget):
             if release.attempt in holding.open:
                 order = holding.open[release.attempt].order
                 self.attempts.forget(order.workspace, order.key, release.attempt)
@@ -331,6 +373,14 @@
         own = self.holding(GrantId(release.budget, self.instance))
         own.release(release.attempt)
 
+    def _holdings_of(self, budget: str) -> list[Holding]:
+        """Returns the own holding of a budget first, then recovered ones."""
+        own = self.holdings.get(GrantId(budget, self.instance))
+        recovered = [
+            self.holdings[grant] for grant in self.recovered if grant.budget == budget
+        ]
+        return [own, *recovered] if own else recovered
+
     def _outstanding_bills(self) -> int:
         return self.journal.state.depth()
 
--- a/verbenagrade/coordination/instance.py
+++ b/verbenagrade/coordination/instance.py
@@ -4,7 +4,8 @@
 
 from verbenagrade.coordination.holder import Holder, HolderLimits
 from verbenagrade.coordination.ports import Clock, ObjectStore, Table
-from verbenagrade.coordination.spender import Call, Spender, SpenderLimits
+from verbenagrade.coordination.settlement import Call
+from verbenagrade.coordination.spender import Spender, SpenderLimits
 from verbenagrade.exceptions import PeerSilentError
 from verbenagrade.settings import LimitSettings
 from verbenagrade.state.identity import Instance
@@ -61,7 +62,7 @@
                     return Replaced(self.instance)
                 return self.holder.settle(message)
             case Witness():
-                return self.spender.witness(message)
+                return self.spender.witnesses.witness(message)
             case Claims():
                 claims = self.spender.claims(message)
                 return replace(claims, orphans=self.holder.orphans_of(message.lost))
--- a/verbenagrade/coordination/journal.py
+++ b/verbenagrade/coordination/journal.py
@@ -29,17 +29,20 @@
         self.state = state
         self.objects = objects
         self.on_durable = on_durable
-        self.pending_attempts: set[str] = set()
+        self.places: dict[str, int] = {}
+        self.next_place = 0
+        self.durable_below = 0
         self.lock = asyncio.Lock()
 
     def append(self, bill: Bill) -> None:
         """Queues a bill for the next batch."""
-        self.pending_attempts.add(bill.attempt)
+        self.places[bill.attempt] = self.next_place
+        self.next_place += 1
         self.state.pending.append(bill)
 
-    def is_pending(self, attempt: str) -> bool:
-        """Returns whether the bill of an attempt is not yet durable."""
-        return attempt in self.pending_attempts
+    def place_of(self, attempt: str) -> int:
+        """Returns an attempt's place, a durable one's if it is not queued."""
+        return self.places.get(attempt, self.durable_below - 1)
 
     def next_sequence(self) -> int:
         """Returns the number of the first batch that is not yet durable."""
@@ -80,6 +83,8 @@
 
     def _written(self, batch: JournalBatch) -> None:
         bills = self.state.written()
-        self.pending_attempts.difference_update(bill.attempt for bill in bills)
+        for bill in bills:
+            self.places.pop(bill.attempt, None)
+        self.durable_below += len(bills)
         self.on_durable(bills)
         log_event(Event.JOURNAL_WRITTEN, sequence=batch.sequence, bills=len(bills))
--- a/verbenagrade/coordination/recovery.py
+++ b/verbenagrade/coordination/recovery.py
@@ -21,7 +21,8 @@
     mark_spender_done,
     take_recovery,
 )
-from verbenagrade.coordination.spender import Call, Spender
+from verbenagrade.coordination.settlement import Call
+from verbenagrade.coordination.spender import Spender
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PeerError
 from verbenagrade.state.bills import Bill, JournalBatch, batch_key
--- /dev/null
+++ b/verbenagrade/coordination/settlement.py
@@ -0,0 +1,187 @@
+"""Keeps what an instance has reserved and billed until it is durable."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+from verbenagrade.coordination.holder import Holder
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import PeerError
+from verbenagrade.state.bills import Bill
+from verbenagrade.state.holding import Reservation
+from verbenagrade.state.identity import Instance
+from verbenagrade.state.membership import Members, MemberVm
+from verbenagrade.state.messages import (
+    Answer,
+    Claims,
+    ClaimsReply,
+    Message,
+    Release,
+    Replaced,
+    Settle,
+    SettleReply,
+)
+
+__all__ = ["Account", "Call", "Settlements"]
+
+Call = Callable[[MemberVm, Message], Awaitable[Answer]]
+
+BILLS_PER_MESSAGE = 500
+
+
+class Account:
+    """What one holder is still owed, in bills and releases."""
+
+    def __init__(self, holder: Instance) -> None:
+        self.holder = holder
+        self.open: dict[str, Reservation] = {}
+        self.bills: dict[str, Bill] = {}
+        self.unsent: dict[str, Bill] = {}
+        self.accepted: deque[tuple[int, str]] = deque()
+        self.releases: dict[str, Release] = {}
+
+    def add_bill(self, bill: Bill) -> None:
+        """Adds the bill of an attempt that ran."""
+        self.open.pop(bill.attempt, None)
+        self.bills[bill.attempt] = bill
+        self.unsent[bill.attempt] = bill
+
+    def is_due(self) -> bool:
+        """Returns whether there is anything to send or to ask."""
+        return bool(self.unsent or self.releases or self.accepted)
+
+    def is_empty(self) -> bool:
+        """Returns whether the account can be dropped."""
+        return not (self.open or self.bills or self.releases)
+
+    def message(self) -> Settle:
+        """Returns the next message to the holder."""
+        bills = tuple(self.unsent.values())[:BILLS_PER_MESSAGE]
+        return Settle(self.holder, bills, tuple(self.releases.values()))
+
+    def take(self, reply: SettleReply) -> tuple[str, ...]:
+        """Takes the holder's answer; returns the attempts that are done with."""
+        for accepted in reply.accepted:
+            if self.unsent.pop(accepted.attempt, None) is not None:
+                self.accepted.append((accepted.place, accepted.attempt))
+        done = [a for a in reply.released if self.releases.pop(a, None)]
+        while self.accepted and self.accepted[0][0] < reply.durable_below:
+            _, attempt = self.accepted.popleft()
+            self.bills.pop(attempt, None)
+            done.append(attempt)
+        return tuple(done)
+
+    def absorb(self, other: "Account") -> None:
+        """Takes over what another holder was owed, to be sent once more."""
+        self.open.update(other.open)
+        self.bills.update(other.bills)
+        self.unsent.update(other.bills)
+        self.releases.update(other.releases)
+
+
+class Settlements:
+    """The accounts of all holders."""
+
+    def __init__(
+        self, instance: Instance, members: Members, holder: Holder, call: Call
+    ) -> None:
+        self.instance = instance
+        self.members = members
+        self.holder = holder
+        self.call = call
+        self.accounts: dict[Instance, Account] = {}
+        self.account_of: dict[str, Account] = {}
+        self.taken_from: dict[str, Instance] = {}
+
+    def unsettled(self) -> int:
+        """Returns how many attempts run or are not durably billed."""
+        return len(self.account_of)
+
+    def opened(self, reservation: Reservation, holder: Instance) -> None:
+        """Records an attempt that a holder gave tokens for."""
+        account = self._account(holder)
+        account.open[reservation.order.attempt] = reservation
+        self.account_of[reservation.order.attempt] = account
+
+    def joined(self, attempt: str, holder: Instance) -> None:
+        """Records an attempt that another instance had started."""
+        if attempt not in self.account_of:
+            self.account_of[attempt] = self._account(holder)
+
+    def left(self, attempt: str) -> None:
+        """Forgets an attempt that was joined and that another one settles."""
+        account = self.account_of.get(attempt)
+        if account is None or attempt in account.open or attempt in account.bills:
+            return
+        del self.account_of[attempt]
+
+    def billed(self, bill: Bill) -> None:
+        """Records that an attempt ended with a bill."""
+        self.account_of[bill.attempt].add_bill(bill)
+
+    def released(self, release: Release, holder: Instance | None = None) -> None:
+        """Records that nothing of an attempt ran."""
+        if holder is not None:
+            self.joined(release.attempt, holder)
+        account = self.account_of[release.attempt]
+        account.open.pop(release.attempt, None)
+        account.releases[release.attempt] = release
+
+    def reservation(self, attempt: str) -> Reservation | None:
+        """Returns the open reservation of an attempt that started here."""
+        account = self.account_of.get(attempt)
+        return account.open.get(attempt) if account else None
+
+    async def settle(self) -> bool:
+        """Sends what is due to each holder; true when nothing is left."""
+        due = [account for account in self.accounts.values() if account.is_due()]
+        await asyncio.gather(*map(self._settle_with, due))
+        empty = [h for h, account in self.accounts.items() if account.is_empty()]
+        for holder in empty:
+            del self.accounts[holder]
+        return not any(a.bills or a.releases for a in self.accounts.values())
+
+    def claims(self, message: Claims) -> ClaimsReply:
+        """Moves a lost holder's account to its recoverer and names what is in it.
+
+        The same question gets the same answer, less what was settled since.
+        """
+        lost = self.accounts.pop(message.lost, None)
+        if lost is not None:
+            account = self._account(message.recoverer)
+            account.absorb(lost)
+            moved = [a for a, held_by in self.account_of.items() if held_by is lost]
+            for attempt in moved:
+                self.account_of[attempt] = account
+                self.taken_from[attempt] = message.lost
+        held = [a for a, h in self.taken_from.items() if h == message.lost]
+        accounts = [(a, self.account_of[a]) for a in held if a in self.account_of]
+        return ClaimsReply(
+            tuple(account.open[a] for a, account in accounts if a in account.open),
+            tuple(account.bills[a] for a, account in accounts if a in account.bills),
+        )
+
+    def _account(self, holder: Instance) -> Account:
+        return self.accounts.setdefault(holder, Account(holder))
+
+    async def _settle_with(self, account: Account) -> None:
+        reply = await self._send(account)
+        if isinstance(reply, SettleReply):
+            for attempt in account.take(reply):
+                self.account_of.pop(attempt, None)
+                self.taken_from.pop(attempt, None)
+        if isinstance(reply, Replaced):
+            self.members.saw(reply.current)
+
+    async def _send(self, account: Account) -> Answer | None:
+        message = account.message()
+        if account.holder == self.instance:
+            return self.holder.settle(message)
+        member = self.members.vms.get(account.holder.vm)
+        if member is None:
+            return None
+        try:
+            return await self.call(member, message)
+        except PeerError as error:
+            log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
+            return None
--- a/verbenagrade/coordination/tests/test_lost_answers.py
+++ b/verbenagrade/coordination/tests/test_lost_answers.py
@@ -1,6 +1,6 @@
 """The answer to every single write is lost, in turn; nothing changes by it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from verbenagrade.coordination import (
     Claim,
@@ -137,17 +137,20 @@
         lost_holder, grants, bills = kept
         members = Members(MEMBER)
         spender = Spender(NEW, members, heir, None, SpenderLimits(), self.clock)
-        for n, reservation in enumerate(grants):
-            spender.holder_of[f"a{n}"] = OLD
-            del reservation
-        spender.bills = {bill.attempt: bill for bill in bills}
-        spender.open = {"a2": lost_holder.holdings[grants[2].grant].open["a2"]}
+        for reserved in grants:
+            holding = lost_holder.holdings[reserved.grant]
+            open_one = holding.open.get(reserved.attempt)
+            if open_one is not None:
+                spender.settlements.opened(open_one, OLD)
+            else:
+                spender.settlements.joined(reserved.attempt, OLD)
+        for bill in bills:
+            spender.finish(bill)
         recovery = Recovery(self.table, self.objects, members, heir, spender, None)
         for _ in range(TRIES):
             await insist(lambda: recovery.look(self.clock()))
-            spender.finish(
-                Bill("a2", "r", "w", grants[2].grant, "e", 30, 0, "answered", 1.0)
-            )
+            if "a2" in spender.settlements.account_of:
+                spender.finish(replace(bills[0], attempt="a2", tokens=30))
             await spender.settle()
             await insist(heir.journal.flush)
             await heir.tend()
--- a/verbenagrade/coordination/tests/test_spender.py
+++ b/verbenagrade/coordination/tests/test_spender.py
@@ -61,7 +61,7 @@
             return Reserved(message.order.attempt, message.order.tokens, GRANT)
         assert isinstance(message, Settle)
         released = tuple(release.attempt for release in message.releases)
-        return SettleReply((), released)
+        return SettleReply((), released, 0)
 
     return call
 
@@ -83,7 +83,7 @@
     spender.claims(Claims(OTHER, HEIR))
     with pytest.raises(UnavailableError):
         await spender.reserve(order_of("late", 10))
-    assert not spender.open
+    assert spender.settlements.unsettled() == 0
 
 
 async def test_a_bill_is_sent_until_it_is_durable():
@@ -102,7 +102,7 @@
             raise PeerSilentError("silent")
         (release,) = message.releases
         assert release in (Release("a.0", "b"), Release("a.1", "b"))
-        return SettleReply((), (release.attempt,))
+        return SettleReply((), (release.attempt,), 0)
 
     spender = spender_of(call)
     with pytest.raises(UnavailableError):
@@ -158,7 +158,7 @@
     (vm, message), *_ = sent
     assert (vm, message.reservations[0].order.attempt) == ("vm-3", answer.attempt)
     witness = spender_of(call)
-    witness.witness(message)
+    witness.witnesses.witness(message)
     claims = witness.claims(Claims(OWN, HEIR))
     assert claims.reservations == message.reservations
 
--- /dev/null
+++ b/verbenagrade/coordination/witnesses.py
@@ -0,0 +1,83 @@
+"""Has reservations that an instance gives itself known on a second VM."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from verbenagrade.coordination.ports import Clock
+from verbenagrade.coordination.settlement import Call
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import PeerError
+from verbenagrade.state.holding import Reservation
+from verbenagrade.state.identity import Instance
+from verbenagrade.state.membership import Members, MemberVm, rank
+from verbenagrade.state.messages import Witness, Witnessed
+
+__all__ = ["Witnesses"]
+
+NEAR_WITNESSES = 2
+
+
+class Witnesses:
+    """What this instance witnesses for others, and others for it."""
+
+    def __init__(self, members: Members, call: Call, clock: Clock) -> None:
+        self.members = members
+        self.call = call
+        self.clock = clock
+        self.known: dict[str, Reservation] = {}
+        self.witness_of: dict[str, MemberVm] = {}
+
+    def witness(self, message: Witness) -> Witnessed:
+        """Knows of reservations that another instance gave itself."""
+        for reservation in message.reservations:
+            self.known[reservation.order.attempt] = reservation
+        for attempt in message.ended:
+            self.known.pop(attempt, None)
+        return Witnessed()
+
+    def known_of(self, lost: Instance) -> tuple[Reservation, ...]:
+        """Returns the reservations that a lost instance had given itself."""
+        return tuple(
+            reservation
+            for reservation in self.known.values()
+            if reservation.order.spender == lost and reservation.grant.owner == lost
+        )
+
+    async def find(self, reservation: Reservation) -> bool:
+        """Tells another instance of a reservation; false if none can be told."""
+        attempt = reservation.order.attempt
+        for member in self._candidates(reservation.order.budget):
+            self.witness_of[attempt] = member
+            try:
+                await self.call(member, Witness((reservation,)))
+            except PeerError as error:
+                self.members.suspect(member.vm, self.clock())
+                log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
+                continue
+            return True
+        self.witness_of.pop(attempt, None)
+        return False
+
+    async def release(self, is_settled: Callable[[str], bool]) -> None:
+        """Lets witnesses forget attempts that are settled for good."""
+        ended: dict[MemberVm, list[str]] = defaultdict(list)
+        for attempt, member in self.witness_of.items():
+            if is_settled(attempt):
+                ended[member].append(attempt)
+        for member, attempts in ended.items():
+            try:
+                await self.call(member, Witness(ended=tuple(attempts)))
+            except PeerError:
+                continue
+            for attempt in attempts:
+                self.witness_of.pop(attempt, None)
+
+    def _candidates(self, budget: str) -> tuple[MemberVm, ...]:
+        now = self.clock()
+        near = rank(budget, self.members.usable(self.members.own.data_centre, now))
+        far = [
+            member
+            for data_centre in self.members.other_data_centres()
+            for member in rank(budget, self.members.usable(data_centre, now))[:1]
+        ]
+        return (*near[:NEAR_WITNESSES], *far)
--- a/verbenagrade/state/__init__.py
+++ b/verbenagrade/state/__init__.py
@@ -48,6 +48,7 @@
     rank,
 )
 from verbenagrade.state.messages import (
+    Accepted,
     Answer,
     Claims,
     ClaimsReply,
@@ -83,6 +84,7 @@
 
 __all__ = [
     "DEMAND_WINDOW_S",
+    "Accepted",
     "Adjusted",
     "Adjustment",
     "Answer",
--- a/verbenagrade/state/messages.py
+++ b/verbenagrade/state/messages.py
@@ -8,6 +8,7 @@
 from verbenagrade.state.identity import Instance
 
 __all__ = [
+    "Accepted",
     "Answer",
     "Claims",
     "ClaimsReply",
@@ -64,7 +65,8 @@
 class Settle:
     """Hands bills to a holder and releases attempts of which nothing ran.
 
-    The same message is sent until its bills are durable.
+    Each bill is sent until it is accepted. A message without any asks which of
+    the accepted ones are durable.
     """
 
     holder: Instance
@@ -72,12 +74,24 @@
     releases: tuple[Release, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """A bill that the holder has, with its place in the holder's journal."""
+
+    attempt: str
+    place: int
+
+
 @dataclass(frozen=True, slots=True)
 class SettleReply:
-    """Names the attempts that need not be sent again."""
+    """Says what need not be sent again.
+
+    Accepted bills whose place is below ``durable_below`` are durable.
+    """
 
-    durable: tuple[str, ...]
+    accepted: tuple[Accepted, ...]
     released: tuple[str, ...]
+    durable_below: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenagrade/tests/fakes.py
+++ b/verbenagrade/tests/fakes.py
@@ -1,16 +1,70 @@
-"""Platform ports over the stand-in's dictionaries, without sockets."""
+"""Platform ports over dictionaries, without sockets."""
 
-from verbenagrade.coordination.ports import ObjectStore, Table
+import bisect
+
+import msgspec
+
+from verbenagrade.coordination.ports import ObjectStore, Row, Table
 from verbenagrade.exceptions import PlatformError
-from verbenagrade.protocol.platform import ReadRequest, ScanRequest, TransactRequest
-from verbenagrade.tests.standins.platform import TableStandIn
+
+
+class Counts(msgspec.Struct):
+    reads: int = 0
+    writes: int = 0
+    conflicts: int = 0
+    objects: int = 0
+
+
+class MemoryTable:
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.keys: list[str] = []
+        self.version = 0
+        self.counts = Counts()
+
+    def read(self, keys):
+        self.counts.reads += 1
+        return tuple(self.rows.get(key) for key in keys)
+
+    def scan(self, prefix, after, limit):
+        self.counts.reads += 1
+        start = bisect.bisect_right(self.keys, after or prefix)
+        if not after and prefix in self.rows:
+            start -= 1
+        found = []
+        for key in self.keys[start:]:
+            if not key.startswith(prefix) or len(found) == limit:
+                break
+            found.append(self.rows[key])
+        return tuple(found)
+
+    def transact(self, checks, writes) -> bool:
+        for check in checks:
+            row = self.rows.get(check.key)
+            if (row.version if row else 0) != check.version:
+                self.counts.conflicts += 1
+                return False
+        self.counts.writes += 1
+        for write in writes:
+            self.put(write.key, write.value)
+        return True
+
+    def put(self, key: str, value: bytes | None) -> None:
+        self.version += 1
+        if value is None:
+            if self.rows.pop(key, None):
+                self.keys.remove(key)
+            return
+        if key not in self.rows:
+            bisect.insort(self.keys, key)
+        self.rows[key] = Row(key, self.version, value)
 
 
 class FakePlatform:
     """A table and an object store that can be away, or lose one answer."""
 
     def __init__(self, lose_answer: int = 0) -> None:
-        self.rows = TableStandIn()
+        self.rows = MemoryTable()
         self.stored: dict[str, bytes] = {}
         self.away = False
         self.lose_answer = lose_answer
@@ -19,18 +73,18 @@
     def table(self) -> Table:
         async def read(keys):
             self._check()
-            return self.rows.read(ReadRequest(keys)).rows
+            return self.rows.read(keys)
 
         async def scan(prefix, after, limit):
             self._check()
-            return self.rows.scan(ScanRequest(prefix, after, limit)).rows
+            return self.rows.scan(prefix, after, limit)
 
         async def transact(checks, writes):
             self._check()
-            reply = self.rows.transact(TransactRequest(checks, writes))
-            if reply.committed:
+            committed = self.rows.transact(checks, writes)
+            if committed:
                 self._written()
-            return reply.committed
+            return committed
 
         return Table(read, scan, transact)
 
--- a/verbenagrade/tests/standins/platform.py
+++ b/verbenagrade/tests/standins/platform.py
@@ -6,13 +6,12 @@
 """
 
 import asyncio
-import bisect
 
 import msgspec
 import typer
 from aiohttp import web
 
-from verbenagrade.coordination.ports import Row, VmEntry
+from verbenagrade.coordination.ports import VmEntry
 from verbenagrade.protocol.platform import (
     ReadReply,
     ReadRequest,
@@ -22,6 +21,7 @@
     TransactRequest,
     VmListReply,
 )
+from verbenagrade.tests.fakes import MemoryTable
 
 
 class Switches(msgspec.Struct):
@@ -32,61 +32,9 @@
     vms: list[VmEntry] | None = None
 
 
-class Counts(msgspec.Struct):
-    reads: int = 0
-    writes: int = 0
-    conflicts: int = 0
-    objects: int = 0
-
-
-class TableStandIn:
-    def __init__(self) -> None:
-        self.rows: dict[str, Row] = {}
-        self.keys: list[str] = []
-        self.version = 0
-        self.counts = Counts()
-
-    def read(self, body: ReadRequest) -> ReadReply:
-        self.counts.reads += 1
-        return ReadReply(tuple(self.rows.get(key) for key in body.keys))
-
-    def scan(self, body: ScanRequest) -> ScanReply:
-        self.counts.reads += 1
-        start = bisect.bisect_right(self.keys, body.after or body.prefix)
-        if not body.after and body.prefix in self.rows:
-            start -= 1
-        found = []
-        for key in self.keys[start:]:
-            if not key.startswith(body.prefix) or len(found) == body.limit:
-                break
-            found.append(self.rows[key])
-        return ScanReply(tuple(found))
-
-    def transact(self, body: TransactRequest) -> TransactReply:
-        for check in body.checks:
-            row = self.rows.get(check.key)
-            if (row.version if row else 0) != check.version:
-                self.counts.conflicts += 1
-                return TransactReply(False)
-        self.counts.writes += 1
-        for write in body.writes:
-            self.put(write.key, write.value)
-        return TransactReply(True)
-
-    def put(self, key: str, value: bytes | None) -> None:
-        self.version += 1
-        if value is None:
-            if self.rows.pop(key, None):
-                self.keys.remove(key)
-            return
-        if key not in self.rows:
-            bisect.insort(self.keys, key)
-        self.rows[key] = Row(key, self.version, value)
-
-
 class PlatformStandIn:
     def __init__(self) -> None:
-        self.table = TableStandIn()
+        self.table = MemoryTable()
         self.objects: dict[str, bytes] = {}
         self.vms: list[VmEntry] = []
         self.switches = Switches()
@@ -94,9 +42,19 @@
     def application(self) -> web.Application:
         app = web.Application(middlewares=[self._faults], client_max_size=1 << 26)
         table = self.table
-        app.router.add_post("/table/read", _json(ReadRequest, table.read))
-        app.router.add_post("/table/scan", _json(ScanRequest, table.scan))
-        app.router.add_post("/table/transact", _json(TransactRequest, table.transact))
+
+        def read(body):
+            return ReadReply(table.read(body.keys))
+
+        def scan(body):
+            return ScanReply(table.scan(body.prefix, body.after, body.limit))
+
+        def transact(body):
+            return TransactReply(table.transact(body.checks, body.writes))
+
+        app.router.add_post("/table/read", _json(ReadRequest, read))
+        app.router.add_post("/table/scan", _json(ScanRequest, scan))
+        app.router.add_post("/table/transact", _json(TransactRequest, transact))
         app.router.add_put("/objects/{name:.+}", self._create)
         app.router.add_get("/objects/{name:.+}", self._get)
         app.router.add_get("/objects/", self._names)
--- a/verbenagrade/transport/router.py
+++ b/verbenagrade/transport/router.py
@@ -129,7 +129,7 @@
             stopping=self.callers.stopping,
             waits_for=self._waits_for(),
             in_flight=self.callers.in_flight,
-            unsettled_attempts=len(spender.open) + len(spender.bills),
+            unsettled_attempts=spender.settlements.unsettled(),
             unwritten_bills=self.fleet.holder.journal.state.depth(),
             grants=sum(1 for holding in holdings if holding.amount),
             granted_tokens=sum(holding.amount for holding in holdings),
@@ -228,7 +228,7 @@
         fleet = self.fleet
         waits = {
             "requests in flight": self.callers.in_flight,
-            "bills not yet durable": len(fleet.spender.bills),
+            "requests not yet settled": fleet.spender.settlements.unsettled(),
             "bills not yet written": fleet.holder.journal.state.depth(),
             "reservations of other instances": sum(
                 len(holding.open) for holding in fleet.holder.holdings.values()
