--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint setup bench
+.PHONY: demo test lint setup bench bench-capacity
 
 setup: $(VENV)/installed
 
@@ -24,3 +24,6 @@
 
 bench: setup
 	$(BIN)/python -m benchmarks.budgets
+
+bench-capacity: setup
+	$(BIN)/python -m benchmarks.capacity
--- a/benchmarks/budgets/load.py
+++ b/benchmarks/budgets/load.py
@@ -42,7 +42,8 @@
     """A load, the budgets it draws on and the faults that meet it.
 
     ``lasts_s`` is how long a budget covers its demand from the start on, and
-    ``rate`` gives requests a second at a time.
+    ``rate`` gives requests a second at a time. The demand of a budget falls with
+    its rank to the power of ``skew``.
     """
 
     name: str
@@ -50,6 +51,8 @@
     lasts_s: float
     rate: Callable[[float], float]
     shares: tuple[float, ...] = (0.4, 0.35, 0.25)
+    budgets: int = BUDGETS
+    skew: float = 1.0
     faults: tuple[Fault, ...] = field(default=())
 
 
@@ -58,6 +61,11 @@
     return 4.0
 
 
+def rare(_at: float) -> float:
+    """Returns the rate at which 400 budgets are each used every 160 s."""
+    return 2.5
+
+
 def bursty(at: float) -> float:
     """Returns a rate with a burst of a minute in every ten."""
     return 16.0 if at % (10 * MINUTE_S) < MINUTE_S else 2.0
@@ -81,6 +89,7 @@
         Scenario("skewed to one centre", half, 3 * hour, steady, skew),
         Scenario("budget nearly spent", half, 0.4 * hour, steady),
         Scenario("nearly spent and skewed", half, 0.4 * hour, steady, skew),
+        Scenario("rarely used budgets", hour, 50 * hour, rare, skew, 400, 0.0),
         Scenario("cut off for minutes", half, 3 * hour, steady, faults=(short_cut,)),
         Scenario("cut off for an hour", 5400.0, 3 * hour, steady, faults=(cut,)),
         Scenario("holder lost", half, 3 * hour, steady, faults=(lost,)),
@@ -99,7 +108,7 @@
 def arrivals(scenario: Scenario, seed: int) -> Iterator[Arrival]:
     """Yields a scenario's requests in the order of their arrival."""
     chooser = random.Random(f"{scenario.name}-{seed}")
-    weights = [1.0 / (rank + 1) for rank in range(BUDGETS)]
+    weights = [(rank + 1) ** -scenario.skew for rank in range(scenario.budgets)]
     at = 0.0
     number = 0
     while True:
@@ -114,7 +123,7 @@
             at=at,
             ends=at + 0.2 + answer * TOKEN_S,
             number=number,
-            budget=f"budget-{chooser.choices(range(BUDGETS), weights)[0]}",
+            budget=f"budget-{chooser.choices(range(scenario.budgets), weights)[0]}",
             data_centre=chooser.choices(DATA_CENTRES, scenario.shares)[0],
             bound=prompt * 4 + answer_bound,
             used=prompt + answer,
--- /dev/null
+++ b/benchmarks/capacity/decisions.py
@@ -0,0 +1,192 @@
+"""Processor time and memory of decisions and state, without sockets."""
+
+import asyncio
+import time
+import tracemalloc
+from collections.abc import Awaitable, Callable
+
+from verbenagrade.coordination import Holder, HolderLimits
+from verbenagrade.coordination.codec import encode_row
+from verbenagrade.coordination.treasury import budget_key
+from verbenagrade.state import (
+    Bill,
+    BudgetRow,
+    Catalogue,
+    EndpointAddress,
+    GrantId,
+    Instance,
+    JournalBatch,
+    MemberVm,
+    Pool,
+    Reserved,
+    ReserveOrder,
+    Resource,
+    Settle,
+    Workspace,
+    rank,
+)
+from verbenagrade.state.routing import EndpointTable
+from verbenagrade.tests.fakes import FakePlatform
+
+__all__ = [
+    "bill_bytes",
+    "catalogue_memory",
+    "choice_time",
+    "grant_memory",
+    "rank_time",
+    "reserve_time",
+    "tend_time",
+    "unwritten_bill_memory",
+]
+
+OWN = Instance("vm-0", 1)
+TOKENS = 1000
+BUDGET_TOKENS = 10**12
+
+
+def reserve_time(requests: int) -> float:
+    """Returns processor seconds for so many reservations and settlements."""
+    return asyncio.run(_timed(requests, _reserve_and_settle))
+
+
+def tend_time(grants: int) -> float:
+    """Returns processor seconds of one look of a holder with so many idle grants."""
+    return asyncio.run(_timed(grants, _tend_once))
+
+
+def grant_memory(grants: int) -> float:
+    """Returns the bytes that so many grants take."""
+    return asyncio.run(_allocated(lambda: _holder_with(grants)))
+
+
+def unwritten_bill_memory(bills: int) -> float:
+    """Returns the bytes of so many bills that wait for the object store."""
+
+    async def make() -> Holder:
+        """Queues the bills."""
+        holder = _holder(1)
+        for number in range(bills):
+            holder.journal.append(_bill(f"attempt-{number}"))
+        return holder
+
+    return asyncio.run(_allocated(make))
+
+
+def catalogue_memory(workspaces: int) -> float:
+    """Returns the bytes that so many workspaces take in a catalogue."""
+
+    async def make() -> Catalogue:
+        """Loads the workspaces."""
+        catalogue = Catalogue()
+        catalogue.preload(_workspace(number) for number in range(workspaces))
+        return catalogue
+
+    return asyncio.run(_allocated(make))
+
+
+def rank_time(members: int) -> float:
+    """Returns processor seconds to rank so many VMs for a budget."""
+    vms = [MemberVm(f"vm-{n}", "a", "") for n in range(members)]
+    began = time.process_time()
+    for number in range(100):
+        rank(f"budget-{number}", vms)
+    return (time.process_time() - began) / 100
+
+
+def choice_time(endpoints: int) -> float:
+    """Returns processor seconds to choose among so many endpoints."""
+    addresses = tuple(EndpointAddress(f"e-{n}", "", "a") for n in range(endpoints))
+    table = EndpointTable("a", 1)
+    pool = Pool(addresses)
+    began = time.process_time()
+    for _ in range(200):
+        table.choose(pool, (), 0.0)
+    return (time.process_time() - began) / 200
+
+
+def bill_bytes(bills: int) -> float:
+    """Returns the bytes of a journal object with so many bills."""
+    batch = JournalBatch(OWN, 0, tuple(_bill(f"attempt-{n}") for n in range(bills)))
+    return len(encode_row(batch))
+
+
+async def _timed(size: int, action: Callable[[Holder, int], Awaitable[None]]) -> float:
+    holder = await _holder_with(size if action is _tend_once else 1)
+    began = time.process_time()
+    await action(holder, size)
+    return time.process_time() - began
+
+
+async def _allocated(make: Callable[[], Awaitable[object]]) -> float:
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = await make()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+async def _reserve_and_settle(holder: Holder, requests: int) -> None:
+    for number in range(requests):
+        answer = await holder.reserve(_order(number + 1, "budget-0"))
+        bill = _bill(answer.attempt, answer)
+        holder.settle(Settle(OWN, (bill,)))
+
+
+async def _tend_once(holder: Holder, _size: int) -> None:
+    holder.grants.touched.clear()
+    await holder.grants.tend()
+
+
+async def _holder_with(grants: int) -> Holder:
+    holder = _holder(grants)
+    for number in range(grants):
+        answer = await holder.reserve(_order(number, f"budget-{number}"))
+        holder.settle(Settle(OWN, (_bill(answer.attempt, answer),)))
+    await holder.journal.flush()
+    return holder
+
+
+def _holder(budgets: int) -> Holder:
+    platform = FakePlatform()
+    for number in range(budgets):
+        row = BudgetRow(BUDGET_TOKENS, BUDGET_TOKENS, workspace="w")
+        platform.rows.put(budget_key(f"budget-{number}"), encode_row(row))
+    holder = Holder(
+        OWN, platform.table(), platform.objects(), HolderLimits(), time.monotonic
+    )
+    holder.grants.registered = True
+    return holder
+
+
+def _order(number: int, budget: str) -> ReserveOrder:
+    return ReserveOrder(
+        attempt=f"muscat-a-0.1796337348179-{number}.0.0",
+        request=f"muscat-a-0.1796337348179-{number}",
+        workspace="w",
+        budget=budget,
+        spender=Instance("vm-1", 1),
+        endpoint="verbena-pool-3",
+        tokens=TOKENS,
+        minimum=TOKENS,
+    )
+
+
+def _bill(attempt: str, answer: Reserved | None = None) -> Bill:
+    return Bill(
+        attempt=attempt,
+        request=attempt,
+        workspace="w",
+        grant=answer.grant if answer else GrantId("budget-0", OWN),
+        endpoint="verbena-pool-3",
+        tokens=TOKENS // 2,
+        prompt_tokens=100,
+        outcome="answered",
+        at=1796337348.179,
+    )
+
+
+def _workspace(number: int) -> Resource:
+    spec = Workspace(f"budget-{number}", (f"key-{number}",), ("verbena", "booking"))
+    return Resource("workspace", f"workspace-{number}", 1, number, spec)
--- a/verbenagrade/coordination/settlement.py
+++ b/verbenagrade/coordination/settlement.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 from verbenagrade.coordination.holder import Holder
+from verbenagrade.coordination.ports import Clock
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PeerError
 from verbenagrade.state.bills import Bill
@@ -27,6 +28,7 @@
 Call = Callable[[MemberVm, Message], Awaitable[Answer]]
 
 BILLS_PER_MESSAGE = 500
+ASK_DURABLE_S = 2.0
 
 
 class Account:
@@ -34,6 +36,7 @@
 
     def __init__(self, holder: Instance) -> None:
         self.holder = holder
+        self.asked_at = 0.0
         self.attempts: set[str] = set()
         self.open: dict[str, Reservation] = {}
         self.bills: dict[str, Bill] = {}
@@ -47,9 +50,11 @@
         self.bills[bill.attempt] = bill
         self.unsent[bill.attempt] = bill
 
-    def is_due(self) -> bool:
-        """Returns whether there is anything to send or to ask."""
-        return bool(self.unsent or self.releases or self.accepted)
+    def is_due(self, now: float) -> bool:
+        """Returns whether there is anything to send, or to ask at ``now``."""
+        if self.unsent or self.releases:
+            return True
+        return bool(self.accepted) and now - self.asked_at >= ASK_DURABLE_S
 
     def is_empty(self) -> bool:
         """Returns whether the account can be dropped."""
@@ -86,12 +91,18 @@
     """The accounts of all holders."""
 
     def __init__(
-        self, instance: Instance, members: Members, holder: Holder, call: Call
+        self,
+        instance: Instance,
+        members: Members,
+        holder: Holder,
+        call: Call,
+        clock: Clock,
     ) -> None:
         self.instance = instance
         self.members = members
         self.holder = holder
         self.call = call
+        self.clock = clock
         self.accounts: dict[Instance, Account] = {}
         self.account_of: dict[str, Account] = {}
         self.taken_from: dict[str, Instance] = {}
@@ -140,7 +151,8 @@
 
     async def settle(self) -> bool:
         """Sends what is due to each holder; true when nothing is left."""
-        due = [account for account in self.accounts.values() if account.is_due()]
+        now = self.clock()
+        due = [account for account in self.accounts.values() if account.is_due(now)]
         await asyncio.gather(*map(self._settle_with, due))
         empty = [h for h, account in self.accounts.items() if account.is_empty()]
         for holder in empty:
@@ -180,6 +192,7 @@
 
     async def _send(self, account: Account) -> Answer | None:
         message = account.message()
+        account.asked_at = self.clock()
         if account.holder == self.instance:
             return self.holder.settle(message)
         member = self.members.vms.get(account.holder.vm)
--- a/verbenagrade/coordination/spender.py
+++ b/verbenagrade/coordination/spender.py
@@ -71,7 +71,7 @@
         self.call = call
         self.limits = limits
         self.clock = clock
-        self.settlements = Settlements(instance, members, holder, call)
+        self.settlements = Settlements(instance, members, holder, call, clock)
         self.witnesses = Witnesses(members, call, clock)
         self.fenced: set[Instance] = set()
 
--- a/verbenagrade/transport/peer_server.py
+++ b/verbenagrade/transport/peer_server.py
@@ -20,6 +20,8 @@
 
 __all__ = ["PeerServer"]
 
+CLOSE_S = 1.0
+
 Handle = Callable[[Message], Awaitable[Answer]]
 
 
@@ -33,6 +35,7 @@
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.writers: set[asyncio.StreamWriter] = set()
+        self.connections: set[asyncio.Task[None]] = set()
 
     async def start(self, address: str, port: int) -> None:
         """Listens; raises ``OSError`` if another process has the port."""
@@ -49,15 +52,19 @@
             writer.close()
         for task in list(self.tasks):
             task.cancel()
+        if self.connections:
+            await asyncio.wait(self.connections, timeout=CLOSE_S)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.writers.add(writer)
+        self.connections.add(asyncio.current_task())
         try:
             if await self._greet(reader, writer):
                 await self._answer_all(reader, writer)
         finally:
+            self.connections.discard(asyncio.current_task())
             self.writers.discard(writer)
             writer.close()
 
--- a/verbenagrade/transport/router.py
+++ b/verbenagrade/transport/router.py
@@ -31,6 +31,7 @@
 
 MS_PER_S = 1000
 POLL_S = 0.1
+CLOSE_S = 0.5
 STATUS_LOG_S = 5.0
 
 
@@ -73,7 +74,9 @@
         self.peer_server = PeerServer(self.instance, self.members, self.fleet.handle)
         self.registration: Registration | None = None
         self.callers = self._callers_side()
-        self.runner = web.AppRunner(self.callers.application(), access_log=None)
+        self.runner = web.AppRunner(
+            self.callers.application(), access_log=None, shutdown_timeout=CLOSE_S
+        )
 
     async def run(self, stop: asyncio.Event, force: asyncio.Event) -> None:
         """Serves until ``stop``, then shuts down gracefully or until ``force``.
