Estimate demand over half an hour, and refill scarce grants early

Cause: rarely used budgets wrote 0.389 times a request, because the estimate of demand fell between two requests, so that grants were returned and drawn again. Window 300 s to 1800 s and returns above 4 wishes instead of 2: 0.258.

That alone raised false refusals with a data centre cut off for an hour from 0.037% to 3.890%: less noise meant fewer refills, and a grant bounded by its share was let down to half. One that could not reach its wish is now refilled at 0.8 of what it reached: 0.181%.

--- a/verbenagrade/coordination/grants.py
+++ b/verbenagrade/coordination/grants.py
@@ -18,7 +18,8 @@
 PLATFORM_RETRY_S = 2.0
 TABLE_PAUSE_S = 0.25
 REFILL_PART = 0.5
-RETURN_FACTOR = 2.0
+SCARCE_REFILL_PART = 0.8
+RETURN_FACTOR = 4.0
 SWEEP_TICKS = 30
 IN_USE_S = 60.0
 FORGET_S = 3600.0
@@ -130,7 +131,8 @@
         if holding.amount and wish == 0 and holding.unreserved > 0:
             return True
         reached = min(wish, holding.filled_to)
-        low = holding.unreserved < reached * REFILL_PART
+        part = SCARCE_REFILL_PART if reached < wish else REFILL_PART
+        low = holding.unreserved < reached * part
         return low or holding.unreserved > wish * RETURN_FACTOR
 
     def _wish(self, holding: Holding, now: float) -> int:
--- a/verbenagrade/state/demand.py
+++ b/verbenagrade/state/demand.py
@@ -5,7 +5,7 @@
 
 __all__ = ["DEMAND_WINDOW_S", "DemandEstimate", "HoldPolicy", "wished_holding"]
 
-DEMAND_WINDOW_S = 300.0
+DEMAND_WINDOW_S = 1800.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,9 +42,9 @@
         """Returns the estimated demand in tokens per second.
 
         >>> demand = DemandEstimate()
-        >>> for second in range(3000):
+        >>> for second in range(9000):
         ...     demand.add(10, float(second))
-        >>> round(demand.rate(3000.0))
+        >>> round(demand.rate(9000.0))
         10
         """
         if self.since is None:
