Let spenders finish with a holder that stopped gracefully

Cause: since accepted bills are asked for every 2 s only, a holder could stop between the durable batch and the question; its spenders then waited for an answer for ever, and could not stop themselves. Ruled out: a stop that waits for its spenders, which a silent one would hold up.

A holder leaves the table's record only with nothing owed; a spender that can't reach it looks there.

--- a/benchmarks/budgets/ways.py
+++ b/benchmarks/budgets/ways.py
@@ -218,6 +218,7 @@
             clock=self.world.clock,
         )
         instance.holder.grants.registered = True
+        self.world.register(instance.instance, own.data_centre)
         return instance
 
     def _check_path(self, own: MemberVm, member: MemberVm) -> None:
--- a/benchmarks/budgets/world.py
+++ b/benchmarks/budgets/world.py
@@ -5,9 +5,10 @@
 from benchmarks.budgets.load import Fault, Scenario
 from verbenagrade.coordination.codec import decode_row, encode_row
 from verbenagrade.coordination.ports import ObjectStore, Table
+from verbenagrade.coordination.registry import Registration
 from verbenagrade.coordination.treasury import budget_key
 from verbenagrade.exceptions import PlatformError
-from verbenagrade.state import BudgetRow, HoldPolicy, retarget
+from verbenagrade.state import BudgetRow, HoldPolicy, Instance, retarget
 from verbenagrade.tests.fakes import FakePlatform
 
 __all__ = ["Prepaid", "World"]
@@ -36,6 +37,11 @@
         for budget, tokens in self.prepaid.items():
             self._put(budget, BudgetRow(tokens, tokens, workspace="w", hold=hold))
 
+    def register(self, instance: Instance, data_centre: str) -> None:
+        """Records an instance, as a router does when it starts."""
+        row = Registration(instance, data_centre, "")
+        self.platform.rows.put(f"instance/{instance.name}", encode_row(row))
+
     def clock(self) -> float:
         """Returns the virtual time in seconds."""
         return self.now
--- a/verbenagrade/coordination/__init__.py
+++ b/verbenagrade/coordination/__init__.py
@@ -87,6 +87,7 @@
 from verbenagrade.coordination.registry import (
     Registration,
     deregister,
+    is_registered,
     list_registrations,
     lost_registrations,
     mark_spender_done,
@@ -161,6 +162,7 @@
     "encode_row",
     "end_orphans",
     "finish_claim",
+    "is_registered",
     "journal_batches",
     "list_registrations",
     "list_resources",
--- a/verbenagrade/coordination/registry.py
+++ b/verbenagrade/coordination/registry.py
@@ -15,6 +15,7 @@
 __all__ = [
     "Registration",
     "deregister",
+    "is_registered",
     "list_registrations",
     "lost_registrations",
     "mark_spender_done",
@@ -73,6 +74,12 @@
     await commit(table, (key,), decide)
 
 
+async def is_registered(table: Table, instance: Instance) -> bool:
+    """Returns whether an instance may still hold grants or owe bills."""
+    (row,) = await table.read((PREFIX + instance.name,))
+    return row is not None
+
+
 async def list_registrations(table: Table) -> tuple[Registration, ...]:
     """Returns every recorded instance."""
     found: list[Row] = []
--- a/verbenagrade/coordination/settlement.py
+++ b/verbenagrade/coordination/settlement.py
@@ -6,8 +6,9 @@
 
 from verbenagrade.coordination.holder import Holder
 from verbenagrade.coordination.ports import Clock
+from verbenagrade.coordination.registry import is_registered
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PeerError
+from verbenagrade.exceptions import PeerError, PlatformError
 from verbenagrade.state.bills import Bill
 from verbenagrade.state.holding import Reservation
 from verbenagrade.state.identity import Instance
@@ -187,8 +188,24 @@
             for attempt in account.take(reply):
                 self.account_of.pop(attempt, None)
                 self.taken_from.pop(attempt, None)
+            return
         if isinstance(reply, Replaced):
             self.members.saw(reply.current)
+        if await self._has_left(account.holder):
+            self._drop(account)
+
+    async def _has_left(self, holder: Instance) -> bool:
+        """Returns whether a holder left the record, as it does with nothing owed."""
+        try:
+            return not await is_registered(self.holder.grants.table, holder)
+        except PlatformError:
+            return False
+
+    def _drop(self, account: Account) -> None:
+        for attempt in account.attempts:
+            self.account_of.pop(attempt, None)
+            self.taken_from.pop(attempt, None)
+        self.accounts.pop(account.holder, None)
 
     async def _send(self, account: Account) -> Answer | None:
         message = account.message()
--- a/verbenagrade/coordination/tests/test_spender.py
+++ b/verbenagrade/coordination/tests/test_spender.py
@@ -13,6 +13,7 @@
     UnavailableError,
 )
 from verbenagrade.state import (
+    Accepted,
     Bill,
     Claims,
     Denial,
@@ -181,3 +182,27 @@
     spender.finish(bill_of("earlier"))
     await spender.settle()
     assert [bill.attempt for message in sent for bill in message.bills] == ["earlier"]
+
+
+async def test_a_holder_that_left_the_record_owes_nothing():
+    """It left only when all its bills were durable, so they need no answer."""
+
+    async def call(member, message):
+        if isinstance(message, Reserve):
+            return Reserved(message.order.attempt, message.order.tokens, GRANT)
+        if message.bills:
+            accepted = tuple(Accepted(bill.attempt, 0) for bill in message.bills)
+            return SettleReply(accepted, (), 0)
+        raise PeerUnreachableError("stopped")
+
+    spender = spender_of(call)
+    reserved = await spender.reserve(order_of("a", 10))
+    spender.finish(bill_of(reserved.attempt))
+    await spender.settle()
+    spender.settlements.accounts[OTHER].asked_at = -100.0
+    await spender.settle()
+    assert spender.settlements.unsettled() == 1
+    spender.holder.grants.table = FakePlatform().table()
+    spender.settlements.accounts[OTHER].asked_at = -100.0
+    await spender.settle()
+    assert spender.settlements.unsettled() == 0
