--- a/verbenagrade/commands/operator.py
+++ b/verbenagrade/commands/operator.py
@@ -22,6 +22,7 @@
     StatusReply,
 )
 from verbenagrade.settings import ControlSettings, RouterSettings, load_settings
+from verbenagrade.settings.reference import settings_reference
 
 __all__ = ["app"]
 
@@ -67,6 +68,12 @@
     typer.echo(f"{file}: all settings are accepted")
 
 
+@app.command("settings-reference")
+def print_settings_reference() -> None:
+    """Prints the reference of all settings."""
+    typer.echo(settings_reference(), nl=False)
+
+
 @app.command()
 def apply(
     file: Annotated[Path, typer.Option("--file", "-f")],
--- a/verbenagrade/coordination/recovery.py
+++ b/verbenagrade/coordination/recovery.py
@@ -112,8 +112,7 @@
             self.in_charge.add(taken.instance)
         for writer in (taken.instance, *taken.recoverers[:-1]):
             await self._seal(writer)
-        for row in await self._grant_rows(taken.instance):
-            await self._adopt(row)
+        await self._adopt_all(await self._grant_rows(taken.instance))
         if await self._claim_all(taken, living):
             await mark_spender_done(self.table, taken.instance)
             await self._finish(taken)
@@ -139,28 +138,33 @@
             after = page[-1].key
         return tuple(found)
 
-    async def _adopt(self, row: Row) -> None:
-        """Settles a grant with its journal and holds it from then on."""
-        grant = GrantId.parse(row.key)
-        stored = decode_row(row.value, GrantRow)
-        if stored.journal == self.holder.instance.name:
-            return
-        bills = await self._journaled(grant, stored)
-        holding = self.holder.grants.holding(grant)
-        holding.take_over(stored, bills)
-        await self.holder.settle_adopted(holding)
+    async def _adopt_all(self, rows: tuple[Row, ...]) -> None:
+        """Settles grants with their journals and holds them from then on."""
+        stored = {
+            GrantId.parse(row.key): decode_row(row.value, GrantRow) for row in rows
+        }
+        own = self.holder.instance.name
+        writers = {row.journal for row in stored.values()} - {own}
+        for writer in sorted(writers):
+            grants = {g: row for g, row in stored.items() if row.journal == writer}
+            bills = await self._journaled(Instance.parse(writer), grants)
+            for grant, row in grants.items():
+                holding = self.holder.grants.holding(grant)
+                holding.take_over(row, bills[grant])
+                await self.holder.settle_adopted(holding)
 
-    async def _journaled(self, grant: GrantId, stored: GrantRow) -> tuple[Bill, ...]:
-        writer = Instance.parse(stored.journal)
-        found = [
-            bill
-            async for batch in journal_batches(
-                self.objects, writer, stored.journal_from
-            )
-            for bill in batch.bills
-            if bill.grant == grant
-        ]
-        return tuple(found)
+    async def _journaled(
+        self, writer: Instance, grants: dict[GrantId, GrantRow]
+    ) -> dict[GrantId, list[Bill]]:
+        """Reads a journal once, for all bills that are missing from the rows."""
+        first = min(row.journal_from for row in grants.values())
+        found: dict[GrantId, list[Bill]] = {grant: [] for grant in grants}
+        async for batch in journal_batches(self.objects, writer, first):
+            for bill in batch.bills:
+                row = grants.get(bill.grant)
+                if row is not None and batch.sequence >= row.journal_from:
+                    found[bill.grant].append(bill)
+        return found
 
     async def _claim_all(
         self, lost: Registration, living: Iterable[Registration]
--- a/verbenagrade/protocol/problems.py
+++ b/verbenagrade/protocol/problems.py
@@ -91,6 +91,7 @@
         503,
         "platform-away",
         "The platform does not answer",
+        outcome=Outcome.UNKNOWN,
         retry_after_s=RETRY_UNAVAILABLE_S,
     ),
     ProblemRule(
