Recognise requests that crash endpoints, and run suspects alone

Cause: such a request, sent again, took down one endpoint after another. Ruled out: counting crashes by content, which convicts requests that shared an endpoint twice. A suspected request now runs where no other suspected one does; a second crash convicts it, an answer clears it.

--- a/verbenagrade/coordination/__init__.py
+++ b/verbenagrade/coordination/__init__.py
@@ -77,6 +77,9 @@
     VmList,
     Write,
 )
+from verbenagrade.coordination.quarantine import (
+    Quarantine,
+)
 from verbenagrade.coordination.recovery import (
     Recovery,
 )
@@ -136,6 +139,7 @@
     "HolderLimits",
     "Journal",
     "ObjectStore",
+    "Quarantine",
     "Recovery",
     "Registration",
     "Row",
--- a/verbenagrade/coordination/desk.py
+++ b/verbenagrade/coordination/desk.py
@@ -66,6 +66,7 @@
         self.patience_s = patience_s
         self.clock = clock
         self.numbers = itertools.count(1)
+        self.attempt_numbers = itertools.count(1)
 
     def new_request(self) -> str:
         """Returns a name for a request that no other instance gives."""
@@ -84,7 +85,7 @@
                 "no endpoint of the pool can be reached; retry in a second"
             )
         _log_choice(ask, choice)
-        answer = await self.spender.reserve(self._order(ask, choice, len(excluded)))
+        answer = await self.spender.reserve(self._order(ask, choice))
         if isinstance(answer, Earlier):
             return self._resumed(ask, answer)
         self.endpoints.started(choice.endpoint.name)
@@ -135,9 +136,9 @@
             outcome=used.outcome,
         )
 
-    def _order(self, ask: Ask, choice: RoutingChoice, attempt_no: int) -> ReserveOrder:
+    def _order(self, ask: Ask, choice: RoutingChoice) -> ReserveOrder:
         return ReserveOrder(
-            attempt=f"{ask.request}.{attempt_no}",
+            attempt=f"{ask.request}.{next(self.attempt_numbers)}",
             request=ask.request,
             workspace=ask.workspace,
             budget=ask.budget,
--- a/verbenagrade/coordination/instance.py
+++ b/verbenagrade/coordination/instance.py
@@ -4,6 +4,7 @@
 
 from verbenagrade.coordination.holder import Holder, HolderLimits
 from verbenagrade.coordination.ports import Clock, ObjectStore, Table
+from verbenagrade.coordination.quarantine import Quarantine
 from verbenagrade.coordination.settlement import Call
 from verbenagrade.coordination.spender import Spender, SpenderLimits
 from verbenagrade.exceptions import PeerSilentError
@@ -13,9 +14,12 @@
 from verbenagrade.state.messages import (
     Answer,
     Claims,
+    CrashReport,
     Heartbeat,
     HeartbeatReply,
     Message,
+    QuarantineEnd,
+    QuarantineRequest,
     Replaced,
     Reserve,
     Settle,
@@ -47,6 +51,7 @@
         self.spender = Spender(
             instance, members, self.holder, call, spender_limits, clock
         )
+        self.quarantine = Quarantine(members, call, clock)
         self.revision = 0
 
     async def handle(self, message: Message) -> Answer:
@@ -66,6 +71,12 @@
             case Claims():
                 claims = self.spender.claims(message)
                 return replace(claims, orphans=self.holder.orphans_of(message.lost))
+            case CrashReport():
+                return self.quarantine.take_report(message)
+            case QuarantineRequest():
+                return self.quarantine.give_slot(message)
+            case QuarantineEnd():
+                return self.quarantine.take_end(message)
             case Heartbeat():
                 self.members.heard(message.sender, message.revision)
                 return HeartbeatReply(self.instance, self.revision)
--- /dev/null
+++ b/verbenagrade/coordination/quarantine.py
@@ -0,0 +1,118 @@
+"""Shares in a data centre which requests crash endpoints."""
+
+import asyncio
+from collections.abc import Iterable
+
+from verbenagrade.coordination.ports import Clock
+from verbenagrade.coordination.settlement import Call
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import (
+    PeerError,
+    PoisonRequestError,
+    UnavailableError,
+)
+from verbenagrade.state.membership import Members, MemberVm, rank
+from verbenagrade.state.messages import (
+    CrashReport,
+    QuarantineEnd,
+    QuarantineReply,
+    QuarantineRequest,
+    Recorded,
+)
+from verbenagrade.state.poison import PoisonRecord, Verdict
+
+__all__ = ["Quarantine"]
+
+
+class Quarantine:
+    """Runs suspected requests alone, and refuses convicted ones for good.
+
+    The slots are given out by one instance of the data centre, found by
+    rendezvous hashing; the verdicts are told to all.
+    """
+
+    def __init__(self, members: Members, call: Call, clock: Clock) -> None:
+        self.members = members
+        self.call = call
+        self.clock = clock
+        self.record = PoisonRecord()
+
+    async def admit(self, digest: str, endpoints: Iterable[str]) -> str:
+        """Returns the endpoint for a suspected request, nothing for a clear one.
+
+        Raises ``PoisonRequestError`` for a convicted one, and
+        ``UnavailableError`` while no endpoint can be set apart.
+        """
+        verdict = self.record.verdict(digest)
+        if verdict is Verdict.CONVICTED:
+            raise PoisonRequestError(
+                "this request crashed two endpoints and is not run again; change it"
+            )
+        if verdict is Verdict.CLEAR:
+            return ""
+        reply = await self._ask(QuarantineRequest(digest, tuple(endpoints)))
+        if not isinstance(reply, QuarantineReply) or not reply.endpoint:
+            raise UnavailableError(
+                "this request ran on an endpoint that crashed, and none is free to"
+                " run it alone; retry in 2 s"
+            )
+        return reply.endpoint
+
+    def give_slot(self, message: QuarantineRequest) -> QuarantineReply:
+        """Answers a request for a slot."""
+        endpoint = self.record.take_slot(
+            message.digest, message.endpoints, self.clock()
+        )
+        return QuarantineReply(endpoint or "")
+
+    def take_report(self, message: CrashReport) -> Recorded:
+        """Records a crash that another instance saw."""
+        self.record.crashed(message.digest, message.quarantined)
+        return Recorded()
+
+    def take_end(self, message: QuarantineEnd) -> Recorded:
+        """Records the end of a quarantine run."""
+        self.record.free_slot(message.digest, message.endpoint)
+        if message.succeeded:
+            self.record.succeeded(message.digest)
+        return Recorded()
+
+    async def crashed(self, digest: str, endpoint: str, quarantined: bool) -> None:
+        """Tells the data centre that an endpoint crashed under a request."""
+        verdict = self.record.crashed(digest, quarantined)
+        log_event(
+            Event.ENDPOINT_CRASHED, digest=digest, endpoint=endpoint, verdict=verdict
+        )
+        await self._tell_all(CrashReport(digest, quarantined))
+
+    async def ended(self, digest: str, endpoint: str, succeeded: bool) -> None:
+        """Tells the data centre that a quarantine run is over."""
+        message = QuarantineEnd(digest, endpoint, succeeded)
+        self.take_end(message)
+        await self._tell_all(message)
+
+    async def _ask(self, message: QuarantineRequest) -> object:
+        now = self.clock()
+        own = self.members.own
+        candidates = (own, *self.members.usable(own.data_centre, now))
+        keeper = rank("quarantine", candidates)[0]
+        if keeper.vm == own.vm:
+            return self.give_slot(message)
+        try:
+            return await self.call(keeper, message)
+        except PeerError:
+            self.members.suspect(keeper.vm, now)
+            return None
+
+    async def _tell_all(self, message: CrashReport | QuarantineEnd) -> None:
+        now = self.clock()
+        near = self.members.usable(self.members.own.data_centre, now)
+        await asyncio.gather(*(self._tell(member, message) for member in near))
+
+    async def _tell(
+        self, member: MemberVm, message: CrashReport | QuarantineEnd
+    ) -> None:
+        try:
+            await self.call(member, message)
+        except PeerError as error:
+            log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -22,6 +22,7 @@
     REQUEST_REFUSED = (203, logbook.INFO, "request refused")
     REQUEST_BROKEN = (204, logbook.WARNING, "request broke off")
     REQUEST_RESUMED = (205, logbook.INFO, "earlier attempt resumed")
+    ENDPOINT_CRASHED = (206, logbook.ERROR, "endpoint crashed under a request")
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
     GRANT_DELAYED = (302, logbook.WARNING, "grant not adjusted; platform away")
--- a/verbenagrade/exceptions.py
+++ b/verbenagrade/exceptions.py
@@ -11,10 +11,12 @@
     "PeerSilentError",
     "PeerUnreachableError",
     "PlatformError",
+    "PoisonRequestError",
     "RevisionConflictError",
     "SettingsError",
     "UnavailableError",
     "UpstreamBrokenError",
+    "UpstreamSilentError",
     "UpstreamUnreachableError",
     "VerbenagradeError",
 ]
@@ -44,6 +46,10 @@
     """Another operator changed the resource first; read it and apply again."""
 
 
+class PoisonRequestError(InvalidRequestError):
+    """The request crashed two endpoints; it is not run again."""
+
+
 class OverloadedError(VerbenagradeError):
     """A bounded queue or buffer is full; the request did not run."""
 
@@ -82,3 +88,7 @@
 
 class UpstreamBrokenError(VerbenagradeError):
     """The endpoint broke off after bytes were sent; the outcome is unknown."""
+
+
+class UpstreamSilentError(UpstreamBrokenError):
+    """The endpoint said nothing for too long; the outcome is unknown."""
--- a/verbenagrade/protocol/problems.py
+++ b/verbenagrade/protocol/problems.py
@@ -48,6 +48,9 @@
 
 
 RULES = (
+    ProblemRule(
+        exceptions.PoisonRequestError, 422, "poison-request", "Crashes endpoints"
+    ),
     ProblemRule(exceptions.NotFoundError, 404, "not-found", "Not found"),
     ProblemRule(
         exceptions.InvalidRequestError, 400, "invalid-request", "Invalid request"
--- a/verbenagrade/state/messages.py
+++ b/verbenagrade/state/messages.py
@@ -12,11 +12,16 @@
     "Answer",
     "Claims",
     "ClaimsReply",
+    "CrashReport",
     "Denial",
     "Denied",
     "Heartbeat",
     "HeartbeatReply",
     "Message",
+    "QuarantineEnd",
+    "QuarantineReply",
+    "QuarantineRequest",
+    "Recorded",
     "Release",
     "Replaced",
     "Reserve",
@@ -135,6 +140,43 @@
     orphans: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Says that an endpoint crashed while it ran a request's content."""
+
+    digest: str
+    quarantined: bool
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineRequest:
+    """Asks for one of the endpoints to run a suspected request alone."""
+
+    digest: str
+    endpoints: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineReply:
+    """Names the endpoint, or nothing if none is free."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineEnd:
+    """Says that a quarantine run is over."""
+
+    digest: str
+    endpoint: str
+    succeeded: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Recorded:
+    """The report is recorded."""
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Says that the sender runs, and which configuration it uses."""
@@ -160,7 +202,16 @@
     current: Instance
 
 
-Message = Reserve | Settle | Witness | Claims | Heartbeat
+Message = (
+    Reserve
+    | Settle
+    | Witness
+    | Claims
+    | Heartbeat
+    | CrashReport
+    | QuarantineRequest
+    | QuarantineEnd
+)
 Answer = (
     Reserved
     | Denied
@@ -169,5 +220,7 @@
     | Witnessed
     | ClaimsReply
     | HeartbeatReply
+    | QuarantineReply
+    | Recorded
     | Replaced
 )
--- a/verbenagrade/tests/test_request_failures.py
+++ b/verbenagrade/tests/test_request_failures.py
@@ -167,3 +167,34 @@
         fleet.signal("muscat-a-0", signal.SIGTERM)
         await asyncio.to_thread(fleet.processes["muscat-a-0"].wait, 5)
         assert not (await request).whole
+
+
+async def test_request_that_crashes_endpoints_is_refused_for_good(start_fleet):
+    """It takes two endpoints down; one that shared the first stays welcome."""
+    async with start_fleet(data_centres=("muscat-a",), engines=4) as fleet:
+        engines = [name for name in fleet.urls if name.startswith("engine-")]
+        for name in engines:
+            await fleet.switch(name, crash_on="boom", token_s=0.03)
+        poison = [{"role": "user", "content": "boom"}]
+        sharing = [
+            await fleet.stream("muscat-a-0", answer_words=40, max_tokens=80, seed=n)
+            for n in range(8)
+        ]
+        first = await fleet.chat("muscat-a-0", messages=poison)
+        assert first.json()["outcome"] == "unknown"
+        shared = await asyncio.gather(*sharing)
+        broken = [n for n, answer in enumerate(shared) if not answer.whole]
+        assert broken
+        second = await fleet.chat("muscat-a-1", messages=poison)
+        assert second.json()["outcome"] == "unknown"
+        for vm in fleet.routers():
+            refused = await fleet.chat(vm, messages=poison)
+            assert refused.status == 422
+            assert refused.json()["outcome"] == "not_run"
+            assert "Retry-After" not in refused.headers
+        assert sum(fleet.processes[name].poll() is not None for name in engines) == 2
+        for n in broken:
+            again = await fleet.chat(
+                "muscat-a-1", stream=True, answer_words=40, max_tokens=80, seed=n
+            )
+            assert again.whole and again.events()[-1] == "[DONE]"
--- a/verbenagrade/transport/__init__.py
+++ b/verbenagrade/transport/__init__.py
@@ -1,5 +1,8 @@
 """Connections, servers and the wiring of a router."""
 
+from verbenagrade.transport.answers import (
+    EngineAnswer,
+)
 from verbenagrade.transport.background import (
     Background,
 )
@@ -58,6 +61,7 @@
     "ChatService",
     "Connections",
     "EndpointClient",
+    "EngineAnswer",
     "OperatorsSide",
     "PeerClient",
     "PeerServer",
--- a/verbenagrade/transport/chat.py
+++ b/verbenagrade/transport/chat.py
@@ -2,18 +2,18 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
-from contextlib import AbstractAsyncContextManager
+import hashlib
+from dataclasses import dataclass
 
-import aiohttp
-import msgspec
 from aiohttp import web
 
 from verbenagrade.coordination.desk import Admission, Ask, Desk, Used
+from verbenagrade.coordination.quarantine import Quarantine
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import (
     InvalidRequestError,
     UpstreamBrokenError,
+    UpstreamSilentError,
     UpstreamUnreachableError,
     VerbenagradeError,
 )
@@ -22,44 +22,30 @@
     EngineRecord,
     EngineState,
     Usage,
-    engine_body,
-    parse_chunk,
 )
 from verbenagrade.protocol.problems import encode_problem, problem_of
-from verbenagrade.protocol.sse import DONE, data_of, event_of
+from verbenagrade.protocol.sse import DONE, event_of
 from verbenagrade.state.catalogue import Catalogue
 from verbenagrade.state.outcome import RequestOutcome
+from verbenagrade.state.poison import Verdict
+from verbenagrade.transport.answers import EngineAnswer
 from verbenagrade.transport.engines import EndpointClient
 from verbenagrade.transport.requests import Caller, key_with_digest
 
 __all__ = ["ChatService"]
 
-HTTP_OK = 200
-HTTP_CLIENT_ERRORS = range(400, 500)
 RESUME_TRIES = 2
 REQUEST_HEADER = "Verbenagrade-Request"
 
 
-class Meter:
-    """Counts what an attempt used, as far as its stream has shown."""
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One request on its way through the endpoints that it is tried on."""
 
-    def __init__(self) -> None:
-        self.usage = Usage()
-        self.chunks = 0
-        self.opened = False
-        self.done = False
-
-    def count(self, data: bytes) -> bool:
-        """Counts one event; returns whether it carries an answer's chunk."""
-        if data == DONE:
-            self.done = True
-            return True
-        chunk = parse_chunk(data)
-        if chunk.usage is not None:
-            self.usage = chunk.usage
-        if chunk.choices:
-            self.chunks += 1
-        return bool(chunk.choices)
+    asked: ChatRequest
+    outcome: RequestOutcome
+    digest: str
+    quarantined: bool
 
 
 class ChatService:
@@ -70,9 +56,11 @@
         desk: Desk,
         client: EndpointClient,
         catalogue: Catalogue,
+        quarantine: Quarantine,
         progress_s: float,
     ) -> None:
         self.desk = desk
+        self.quarantine = quarantine
         self.client = client
         self.catalogue = catalogue
         self.progress_s = progress_s
@@ -85,13 +73,56 @@
         Raises an error that says what became of it if there is no answer.
         """
         ask = self._ask(caller, asked)
+        digest = hashlib.sha256(asked.body).hexdigest()
+        names = {endpoint.name for endpoint in ask.pool.endpoints}
+        left = set(names)
+        while True:
+            alone_on = await self.quarantine.admit(digest, sorted(left))
+            if not alone_on:
+                return await self._serve(request, ask, asked, digest, frozenset())
+            others = frozenset(names - {alone_on})
+            try:
+                return await self._serve_alone(
+                    request, ask, asked, digest, alone_on, others
+                )
+            except UpstreamUnreachableError:
+                left.discard(alone_on)
+
+    async def _serve_alone(
+        self,
+        request: web.Request,
+        ask: Ask,
+        asked: ChatRequest,
+        digest: str,
+        endpoint: str,
+        others: frozenset[str],
+    ) -> web.StreamResponse:
+        """Serves a suspected request on an endpoint that runs no other one."""
+        succeeded = False
+        try:
+            response = await self._serve(request, ask, asked, digest, others)
+            succeeded = self.quarantine.record.verdict(digest) is Verdict.SUSPECTED
+            return response
+        finally:
+            await self.quarantine.ended(digest, endpoint, succeeded)
+
+    async def _serve(
+        self,
+        request: web.Request,
+        ask: Ask,
+        asked: ChatRequest,
+        digest: str,
+        barred: frozenset[str],
+    ) -> web.StreamResponse:
         outcome = RequestOutcome()
-        excluded: set[str] = set()
+        excluded = set(barred)
         while True:
             admission = await self.desk.admit(ask, excluded)
             outcome.advance("reserve")
             try:
-                return await self._run(request, admission, asked, outcome)
+                return await self._run(
+                    request, admission, Run(asked, outcome, digest, bool(barred))
+                )
             except UpstreamUnreachableError:
                 outcome.advance("withdraw")
                 excluded.add(admission.endpoint.name)
@@ -130,53 +161,43 @@
         self,
         request: web.Request,
         admission: Admission,
-        asked: ChatRequest,
-        outcome: RequestOutcome,
+        run: Run,
     ) -> web.StreamResponse:
+        asked, outcome = run.asked, run.outcome
         outcome.advance("send")
-        meter = Meter()
+        answer = EngineAnswer(self.client, admission, asked)
         response = _event_stream(admission)
         try:
             if asked.stream:
-                await self._stream(request, response, admission, asked, meter)
+                await self._stream(request, response, answer)
             else:
-                response = await self._whole(admission, asked, meter)
+                response = await self._whole(answer)
         except UpstreamUnreachableError:
             raise
         except InvalidRequestError:
             self.desk.withdraw(admission, unreachable=False)
             raise
         except Exception as error:
-            await self._bill_broken(admission, meter, outcome)
+            await self._bill_broken(admission, answer.meter.usage, run, error)
             return await self._end_visibly(request, response, error)
-        self.desk.finish(admission, _used(meter.usage, "answered"))
+        self.desk.finish(admission, _used(answer.meter.usage, "answered"))
         outcome.advance("answer")
         return response
 
-    async def _whole(
-        self, admission: Admission, asked: ChatRequest, meter: Meter
-    ) -> web.Response:
-        async with self._open(admission, asked, meter) as upstream:
-            body = await upstream.read()
-            _check_status(upstream, body)
-        try:
-            meter.usage = parse_chunk(body).usage or Usage()
-        except msgspec.DecodeError as error:
-            raise UpstreamBrokenError(f"not a chat answer: {error}") from error
-        headers = {REQUEST_HEADER: admission.ask.request}
+    async def _whole(self, answer: EngineAnswer) -> web.Response:
+        body = await answer.whole()
+        headers = {REQUEST_HEADER: answer.admission.ask.request}
         return web.Response(body=body, content_type="application/json", headers=headers)
 
     async def _stream(
         self,
         request: web.Request,
         response: web.StreamResponse,
-        admission: Admission,
-        asked: ChatRequest,
-        meter: Meter,
+        answer: EngineAnswer,
     ) -> None:
         for tries_left in reversed(range(RESUME_TRIES + 1)):
             try:
-                async for data in self._events(admission, asked, meter):
+                async for data in answer.events():
                     if not response.prepared:
                         await response.prepare(request)
                     await self._write(response, event_of(data))
@@ -185,46 +206,12 @@
                 if not tries_left:
                     raise
             except UpstreamUnreachableError as error:
-                if not meter.opened:
+                if not answer.meter.opened:
                     raise
                 raise UpstreamBrokenError(str(error)) from error
         await self._write(response, event_of(DONE))
         await response.write_eof()
 
-    async def _events(
-        self, admission: Admission, asked: ChatRequest, meter: Meter
-    ) -> AsyncIterator[bytes]:
-        """Yields the data of events, up to the one that ends the answer."""
-        async with self._open(admission, asked, meter) as upstream:
-            meter.opened = True
-            if upstream.status != HTTP_OK:
-                _check_status(upstream, await upstream.read())
-            async for line in upstream.content:
-                data = data_of(line)
-                if data is None:
-                    continue
-                relayed = meter.count(data) or asked.wants_usage
-                if meter.done:
-                    return
-                if relayed:
-                    yield data
-        raise UpstreamBrokenError("the endpoint ended its stream half-way; ask again")
-
-    def _open(
-        self, admission: Admission, asked: ChatRequest, meter: Meter
-    ) -> AbstractAsyncContextManager[aiohttp.ClientResponse]:
-        """Opens a new run, or the rest of one that ran before."""
-        attempt = admission.reserved.attempt
-        base = admission.endpoint.url
-        if admission.earlier or meter.opened:
-            stream = "true" if asked.stream else "false"
-            query = f"after={meter.chunks}&stream={stream}"
-            url = f"{base}/v1/requests/{attempt}/resume?{query}"
-            return self.client.send("POST", url, b"", attempt)
-        answer_tokens = admission.reserved.tokens - asked.prompt_bound
-        body = engine_body(asked, answer_tokens)
-        return self.client.send("POST", f"{base}/v1/chat/completions", body, attempt)
-
     async def _write(self, response: web.StreamResponse, data: bytes) -> None:
         """Writes to the caller; one that stops reading is given up."""
         try:
@@ -251,16 +238,28 @@
         return response
 
     async def _bill_broken(
-        self, admission: Admission, meter: Meter, outcome: RequestOutcome
+        self, admission: Admission, seen: Usage, run: Run, error: Exception
     ) -> None:
         """Bills what the endpoint counted, or else what reached this router."""
         attempt = admission.reserved.attempt
+        name = admission.endpoint.name
         record = await self.client.close(admission.endpoint.url, attempt)
-        outcome.advance("break_off")
+        run.outcome.advance("break_off")
+        if _is_crash(record, error):
+            await self.quarantine.crashed(run.digest, name, run.quarantined)
         log_event(
             Event.REQUEST_BROKEN, attempt=attempt, endpoint=admission.endpoint.name
         )
-        self.desk.finish(admission, _used_when_broken(record, meter.usage))
+        self.desk.finish(admission, _used_when_broken(record, seen))
+
+
+def _is_crash(record: EngineRecord | None, error: Exception) -> bool:
+    """Returns whether an endpoint fell, or lost its memory, under a request."""
+    if isinstance(error, UpstreamSilentError):
+        return False
+    if not isinstance(error, UpstreamBrokenError):
+        return False
+    return record is None or record.state == EngineState.NEVER
 
 
 def _event_stream(admission: Admission) -> web.StreamResponse:
@@ -278,12 +277,3 @@
     if record is None or record.state == EngineState.NEVER:
         return _used(seen, "broken")
     return Used(record.total, record.prompt_tokens, "broken")
-
-
-def _check_status(upstream: aiohttp.ClientResponse, body: bytes) -> None:
-    if upstream.status == HTTP_OK:
-        return
-    text = body[:200].decode(errors="replace")
-    if upstream.status in HTTP_CLIENT_ERRORS:
-        raise InvalidRequestError(f"the endpoint refused the request: {text}")
-    raise UpstreamBrokenError(f"the endpoint failed with {upstream.status}: {text}")
--- a/verbenagrade/transport/engines.py
+++ b/verbenagrade/transport/engines.py
@@ -6,7 +6,11 @@
 import aiohttp
 import msgspec
 
-from verbenagrade.exceptions import UpstreamBrokenError, UpstreamUnreachableError
+from verbenagrade.exceptions import (
+    UpstreamBrokenError,
+    UpstreamSilentError,
+    UpstreamUnreachableError,
+)
 from verbenagrade.protocol.chat import EngineRecord
 
 __all__ = ["EndpointClient"]
@@ -50,7 +54,11 @@
             raise UpstreamUnreachableError(
                 f"{url}: no connection; retry in a second"
             ) from error
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ServerTimeoutError, TimeoutError) as error:
+            raise UpstreamSilentError(
+                f"{url}: no progress; ask for the outcome before a retry"
+            ) from error
+        except aiohttp.ClientError as error:
             raise UpstreamBrokenError(
                 f"{url}: {type(error).__name__}; ask for the outcome before a retry"
             ) from error
--- a/verbenagrade/transport/router.py
+++ b/verbenagrade/transport/router.py
@@ -125,7 +125,9 @@
         endpoints = EndpointTable(self.settings.data_centre, self.instance.incarnation)
         desk = Desk(self.fleet.spender, endpoints, timing.patience_s, self.clock)
         client = self.client
-        chat = ChatService(desk, client, self.catalogue, timing.progress_s)
+        chat = ChatService(
+            desk, client, self.catalogue, self.fleet.quarantine, timing.progress_s
+        )
         services = ServiceGateway(
             desk, client, self.catalogue, self.table, self.background
         )
