Run a retry anew whose earlier answer the engine lost

Cause: a retry with a key resumed its earlier attempt; when the engine knew nothing of it, the caller got 400 as not run, each time it asked. Ruled out: resuming elsewhere. The attempt is barred at the engine and disowned, then the request runs anew; only if the attempt was an earlier one, else a request that crashes its engine would be run again and again.

Second: a grant marked solo once marked all later ones of that holder.

Before: test_retry_whose_first_answer_the_engine_forgot_runs_anew got 400, test_a_later_grant_is_not_marked_solo_by_an_earlier_one failed. After: passed.

--- a/verbenagrade/coordination/desk.py
+++ b/verbenagrade/coordination/desk.py
@@ -10,6 +10,7 @@
 from verbenagrade.exceptions import UpstreamUnreachableError
 from verbenagrade.state.bills import Bill
 from verbenagrade.state.holding import Earlier, Reserved, ReserveOrder
+from verbenagrade.state.messages import Release
 from verbenagrade.state.resources import EndpointAddress, Pool
 from verbenagrade.state.routing import EndpointTable, RoutingChoice
 
@@ -102,6 +103,13 @@
         else:
             self.spender.cancel(attempt, admission.ask.budget)
 
+    async def disown(self, admission: Admission) -> None:
+        """Lets a request run anew whose earlier attempt left no trace."""
+        self.endpoints.ended(admission.endpoint.name)
+        ask = admission.ask
+        attempt = admission.reserved.attempt
+        await self.spender.disown(Release(attempt, ask.budget, ask.workspace, ask.key))
+
     def finish(self, admission: Admission, used: Used) -> None:
         """Bills an attempt that ran."""
         self.endpoints.ended(admission.endpoint.name)
--- a/verbenagrade/coordination/holder.py
+++ b/verbenagrade/coordination/holder.py
@@ -171,6 +171,7 @@
 
     def release(self, release: Release) -> None:
         """Ends the reservation of an attempt of which nothing ran."""
+        self.attempts.forget(release.workspace, release.key, release.attempt)
         for holding in self.grants.holdings_of(release.budget):
             if release.attempt in holding.open:
                 order = holding.open[release.attempt].order
--- a/verbenagrade/coordination/spender.py
+++ b/verbenagrade/coordination/spender.py
@@ -114,6 +114,12 @@
             self.holder.attempts.forget(order.workspace, order.key, attempt)
         self.settlements.released(Release(attempt, budget))
 
+    async def disown(self, release: Release) -> None:
+        """Frees the key of an attempt that its endpoint knows nothing of."""
+        self.holder.attempts.forget(release.workspace, release.key, release.attempt)
+        self.settlements.released(release)
+        await self.settle()
+
     async def settle(self) -> bool:
         """Sends bills and releases to their holders; true when none are left."""
         is_done = await self.settlements.settle()
--- a/verbenagrade/coordination/tests/test_grants.py
+++ b/verbenagrade/coordination/tests/test_grants.py
@@ -78,3 +78,16 @@
     bench.now += 1.0
     assert isinstance(await bench.holder.reserve(big), Reserved)
     assert await bench.available() >= 0
+
+
+async def test_a_later_grant_is_not_marked_solo_by_an_earlier_one():
+    bench = await Bench().declare()
+    await bench.holder.reserve(order_of("a", 100, 100))
+    assert await bench.holder.grants.make_solo("b")
+    holding = bench.holder.grants.holdings[GRANT]
+    holding.release("a")
+    bench.now += 10_000.0
+    await bench.holder.grants.tend()
+    assert holding.amount == 0
+    await bench.holder.reserve(order_of("b", 100, 100))
+    assert not holding.solo
--- a/verbenagrade/coordination/tests/test_recovery.py
+++ b/verbenagrade/coordination/tests/test_recovery.py
@@ -1,5 +1,7 @@
 """Recoveries that are interrupted, and instances that are lost together."""
 
+import pytest
+
 from verbenagrade.coordination import (
     Declaration,
     FleetInstance,
@@ -11,7 +13,7 @@
     register,
 )
 from verbenagrade.coordination.ledger import journal_batches
-from verbenagrade.exceptions import PeerUnreachableError
+from verbenagrade.exceptions import FencedError, PeerUnreachableError
 from verbenagrade.settings import LimitSettings
 from verbenagrade.state import Bill, Budget, Instance, Members, MemberVm
 from verbenagrade.state.tests.test_budget_rules import order_of
@@ -165,3 +167,16 @@
     row = await town.row()
     assert row.committed >= 200
     assert row.spent == 0
+
+
+async def test_a_lost_holder_that_wakes_can_write_no_more_bills():
+    town, spender, done, _ = await reserved_twice()
+    spender.finish(bill_for(done))
+    await spender.settle()
+    lost = town.running.pop("vm-0")
+    await town.start("vm-0", 2)
+    await town.start("vm-2", 1)
+    await town.turn(4)
+    with pytest.raises(FencedError):
+        await lost.holder.journal.flush()
+    assert await town.bills() == [(done.attempt, 40)]
--- a/verbenagrade/exceptions.py
+++ b/verbenagrade/exceptions.py
@@ -16,6 +16,7 @@
     "SettingsError",
     "UnavailableError",
     "UpstreamBrokenError",
+    "UpstreamForgotError",
     "UpstreamSilentError",
     "UpstreamUnreachableError",
     "VerbenagradeError",
@@ -90,5 +91,9 @@
     """The endpoint broke off after bytes were sent; the outcome is unknown."""
 
 
+class UpstreamForgotError(UpstreamBrokenError):
+    """The endpoint knows nothing of an earlier attempt of the request."""
+
+
 class UpstreamSilentError(UpstreamBrokenError):
     """The endpoint said nothing for too long; the outcome is unknown."""
--- a/verbenagrade/state/holding.py
+++ b/verbenagrade/state/holding.py
@@ -209,7 +209,7 @@
         if row.unspent == 0:
             self.amount = self.spent = self.durable_spent = 0
             self.operation = 0
-            self.solo = False
+            self.solo = self.wants_solo = False
 
     def made_durable(self, tokens: int) -> None:
         """Records that bills of so many tokens are in the journal for good."""
--- a/verbenagrade/state/messages.py
+++ b/verbenagrade/state/messages.py
@@ -60,10 +60,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Release:
-    """Ends the reservation of an attempt of which nothing ran."""
+    """Ends the reservation of an attempt of which nothing ran.
+
+    Its idempotency key, if any, is free again.
+    """
 
     attempt: str
     budget: str
+    workspace: str = ""
+    key: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenagrade/tests/standins/engine.py
+++ b/verbenagrade/tests/standins/engine.py
@@ -3,7 +3,7 @@
 It counts a token for every word. ``POST /switch`` takes ``token_s`` (time for a
 token), ``silent`` (accept and say nothing), ``crash_on`` (exit on a prompt that
 holds this text), ``ignore_limit`` and ``break_after`` (drop the connection after
-that many tokens, once).
+that many tokens, once) and ``forget`` (lose all records, as in a restart).
 """
 
 import asyncio
@@ -20,6 +20,7 @@
     crash_on: str = ""
     ignore_limit: bool = False
     break_after: int = 0
+    forget: bool = False
 
 
 class Run:
@@ -134,6 +135,8 @@
 
     async def _switch(self, request):
         self.switches = msgspec.json.decode(await request.read(), type=Switches)
+        if self.switches.forget:
+            self.runs.clear()
         return web.Response(text="ok")
 
     async def _served(self, _request):
--- a/verbenagrade/tests/test_request_failures.py
+++ b/verbenagrade/tests/test_request_failures.py
@@ -198,3 +198,30 @@
                 "muscat-a-1", stream=True, answer_words=40, max_tokens=80, seed=n
             )
             assert again.whole and again.events()[-1] == "[DONE]"
+
+
+async def test_retry_whose_first_answer_the_engine_forgot_runs_anew(start_fleet):
+    async with start_fleet(data_centres=("muscat-a",)) as fleet:
+        key = {"headers": {"Idempotency-Key": "roster-8"}}
+        first = await fleet.chat("muscat-a-0", **key)
+        assert first.status == 200
+        await fleet.until(fleet.settled)
+        await fleet.switch("engine-muscat-a-0", forget=True)
+        for vm in fleet.routers():
+            again = await fleet.chat(vm, **key)
+            assert again.status == 200, again.body
+        await fleet.until(fleet.settled)
+        bills = await fleet.bills_when(2)
+        assert len(bills) == len({bill["attempt"] for bill in bills}) == 2
+
+
+async def test_engine_that_loses_a_running_request_is_not_asked_again(start_fleet):
+    """The loss counts as a crash; the request is not run anew by itself."""
+    async with start_fleet(data_centres=("muscat-a",)) as fleet:
+        await fleet.switch("engine-muscat-a-0", token_s=0.05)
+        request = await fleet.stream("muscat-a-0", answer_words=60, max_tokens=90)
+        await fleet.switch("engine-muscat-a-0", forget=True, break_after=8)
+        answer = await request
+        assert not answer.whole
+        assert fleet.log_events("muscat-a-0", 206)
+        assert len(fleet.log_events("muscat-a-0", 200)) == 1
--- a/verbenagrade/transport/answers.py
+++ b/verbenagrade/transport/answers.py
@@ -7,7 +7,11 @@
 import msgspec
 
 from verbenagrade.coordination.desk import Admission
-from verbenagrade.exceptions import InvalidRequestError, UpstreamBrokenError
+from verbenagrade.exceptions import (
+    InvalidRequestError,
+    UpstreamBrokenError,
+    UpstreamForgotError,
+)
 from verbenagrade.protocol.chat import ChatRequest, Usage, engine_body, parse_chunk
 from verbenagrade.protocol.sse import DONE, data_of
 from verbenagrade.transport.engines import EndpointClient
@@ -15,6 +19,7 @@
 __all__ = ["EngineAnswer"]
 
 HTTP_OK = 200
+HTTP_NOT_FOUND = 404
 HTTP_CLIENT_ERRORS = range(400, 500)
 
 
@@ -51,11 +56,17 @@
         self.asked = asked
         self.meter = Meter()
 
+    @property
+    def resumes(self) -> bool:
+        """Whether the next call goes on with a run that began before."""
+        return self.admission.earlier or self.meter.opened
+
     async def whole(self) -> bytes:
         """Returns an answer that is not streamed."""
+        resumes = self.resumes
         async with self._open() as upstream:
             body = await upstream.read()
-            _check_status(upstream, body)
+            _check_status(upstream, body, resumes)
         try:
             self.meter.usage = parse_chunk(body).usage or Usage()
         except msgspec.DecodeError as error:
@@ -64,10 +75,11 @@
 
     async def events(self) -> AsyncIterator[bytes]:
         """Yields the data of events, up to the one that ends the answer."""
+        resumes = self.resumes
         async with self._open() as upstream:
             self.meter.opened = True
             if upstream.status != HTTP_OK:
-                _check_status(upstream, await upstream.read())
+                _check_status(upstream, await upstream.read(), resumes)
             async for line in upstream.content:
                 data = data_of(line)
                 if data is None:
@@ -85,7 +97,7 @@
         """Opens a new run, or the rest of one that ran before."""
         attempt = self.admission.reserved.attempt
         base = self.admission.endpoint.url
-        if self.admission.earlier or self.meter.opened:
+        if self.resumes:
             stream = "true" if self.asked.stream else "false"
             query = f"after={self.meter.chunks}&stream={stream}"
             url = f"{base}/v1/requests/{attempt}/resume?{query}"
@@ -95,10 +107,12 @@
         return self.client.send("POST", f"{base}/v1/chat/completions", body, attempt)
 
 
-def _check_status(upstream: aiohttp.ClientResponse, body: bytes) -> None:
+def _check_status(upstream: aiohttp.ClientResponse, body: bytes, resumes: bool) -> None:
     if upstream.status == HTTP_OK:
         return
     text = body[:200].decode(errors="replace")
+    if upstream.status == HTTP_NOT_FOUND and resumes:
+        raise UpstreamForgotError("the endpoint has lost the answer; ask again")
     if upstream.status in HTTP_CLIENT_ERRORS:
         raise InvalidRequestError(f"the endpoint refused the request: {text}")
     raise UpstreamBrokenError(f"the endpoint failed with {upstream.status}: {text}")
--- a/verbenagrade/transport/chat.py
+++ b/verbenagrade/transport/chat.py
@@ -13,6 +13,7 @@
 from verbenagrade.exceptions import (
     InvalidRequestError,
     UpstreamBrokenError,
+    UpstreamForgotError,
     UpstreamSilentError,
     UpstreamUnreachableError,
     VerbenagradeError,
@@ -123,6 +124,9 @@
                 return await self._run(
                     request, admission, Run(asked, outcome, digest, bool(barred))
                 )
+            except UpstreamForgotError:
+                outcome.advance("withdraw")
+                await self._start_anew(admission)
             except UpstreamUnreachableError:
                 outcome.advance("withdraw")
                 excluded.add(admission.endpoint.name)
@@ -147,6 +151,18 @@
             key=key_with_digest(caller.key, asked.body),
         )
 
+    async def _start_anew(self, admission: Admission) -> None:
+        """Bars an earlier attempt that left no trace, so that another may run."""
+        attempt = admission.reserved.attempt
+        record = await self.client.close(admission.endpoint.url, attempt)
+        if record is None or record.state != EngineState.NEVER:
+            self.desk.withdraw(admission, unreachable=False)
+            raise UpstreamBrokenError(
+                f"the endpoint {admission.endpoint.name} can't tell what became of"
+                " this request; retry in a second"
+            )
+        await self.desk.disown(admission)
+
     async def _give_up_endpoint(self, admission: Admission) -> None:
         if admission.earlier:
             self.desk.withdraw(admission, unreachable=True)
@@ -174,10 +190,12 @@
                 response = await self._whole(answer)
         except UpstreamUnreachableError:
             raise
-        except InvalidRequestError:
-            self.desk.withdraw(admission, unreachable=False)
-            raise
         except Exception as error:
+            if not response.prepared and isinstance(error, InvalidRequestError):
+                self.desk.withdraw(admission, unreachable=False)
+                raise
+            if _is_lost_earlier(admission, response, error):
+                raise
             await self._bill_broken(admission, answer.meter.usage, run, error)
             return await self._end_visibly(request, response, error)
         self.desk.finish(admission, _used(answer.meter.usage, "answered"))
@@ -253,6 +271,14 @@
         self.desk.finish(admission, _used_when_broken(record, seen))
 
 
+def _is_lost_earlier(
+    admission: Admission, response: web.StreamResponse, error: Exception
+) -> bool:
+    """Returns whether an earlier attempt's answer is gone before any was sent."""
+    forgot = isinstance(error, UpstreamForgotError)
+    return forgot and admission.earlier and not response.prepared
+
+
 def _is_crash(record: EngineRecord | None, error: Exception) -> bool:
     """Returns whether an endpoint fell, or lost its memory, under a request."""
     if isinstance(error, UpstreamSilentError):
