--- /dev/null
+++ b/verbenagrade/tests/test_operators.py
@@ -0,0 +1,111 @@
+"""Operators declare, race and watch, through the command line."""
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+
+
+async def command(fleet, *args):
+    """Runs the command line against the fleet's control process."""
+    result = await asyncio.to_thread(
+        subprocess.run,
+        [sys.executable, "-m", "verbenagrade.commands.operator", *args]
+        + ["--control", fleet.urls["control"]],
+        capture_output=True,
+        text=True,
+    )
+    return result.returncode, (result.stdout + result.stderr).strip()
+
+
+async def test_session_of_an_operator(start_fleet, golden):
+    async with start_fleet() as fleet:
+        wanted = [
+            {
+                "kind": "budget",
+                "name": "mall",
+                "spec": {"workspace": "mall", "prepaid": 500},
+            },
+            {
+                "kind": "workspace",
+                "name": "mall",
+                "spec": {
+                    "budget": "mall",
+                    "api_keys": ["key-mall"],
+                    "routes": ["verbena"],
+                },
+            },
+        ]
+        path = fleet.folder / "mall.json5"
+        path.write_text("// a new customer\n" + json.dumps(wanted))
+        golden.note("apply", *await command(fleet, "apply", "-f", str(path)))
+        golden.note("wait", *await command(fleet, "wait", "workspace", "mall"))
+        answer = await fleet.chat("dhofar-a-1", "mall", answer_words=2, max_tokens=9)
+        golden.answer("the new customer's first request", answer)
+        await fleet.bills_when(1, "mall")
+        await fleet.until(fleet.settled)
+        code, text = await command(fleet, "explain", "mall")
+        golden.note("explain", code, text.splitlines()[-1])
+        golden.note("get", *await command(fleet, "get", "--kind", "budget"))
+        path.write_text('{kind: "pool", name: "p", spec: {endpoints: 3}}')
+        golden.note("a wrong spec", *await command(fleet, "apply", "-f", str(path)))
+        path.write_text('{kind: "pod", name: "p", spec: {}}')
+        golden.note("a wrong kind", *await command(fleet, "apply", "-f", str(path)))
+        golden.check()
+
+
+async def test_racing_operators_never_overwrite_each_other_unseen(start_fleet):
+    async with start_fleet(data_centres=("muscat-a",)) as fleet:
+        path = "/resources/budget/crew"
+        bodies = [
+            {"generation": 1, "spec": {"workspace": "crew", "prepaid": 1_000_000 + n}}
+            for n in range(6)
+        ]
+        answers = await asyncio.gather(
+            *(fleet.ask("control", "PUT", path, body) for body in bodies)
+        )
+        statuses = sorted(answer.status for answer in answers)
+        assert statuses == [200, 409, 409, 409, 409, 409]
+        winner = next(n for n, answer in enumerate(answers) if answer.status == 200)
+        assert (await fleet.budget())["row"]["target"] == 1_000_000 + winner
+
+
+async def test_a_resource_names_the_vms_that_it_waits_for(start_fleet):
+    async with start_fleet() as fleet:
+        await fleet.until(lambda: in_force(fleet, "route", "verbena"))
+        fleet.signal("dhofar-a-1", signal.SIGSTOP)
+        route = {"pool": "verbena-pool", "default_answer_tokens": 77}
+        await fleet.apply("route", "verbena", route, 1)
+        await asyncio.sleep(3.0)
+        status = (
+            await fleet.ask("control", "GET", "/resources/route/verbena/status")
+        ).json()
+        waits = [{"vm": "dhofar-a-1", "data_centre": "dhofar-a"}]
+        assert not status["in_force"]
+        assert status["waits_for"] == waits
+        fleet.signal("dhofar-a-1", signal.SIGCONT)
+        await fleet.until(lambda: in_force(fleet, "route", "verbena"))
+
+
+async def in_force(fleet, kind, name):
+    path = f"/resources/{kind}/{name}/status"
+    return (await fleet.ask("control", "GET", path)).json()["in_force"]
+
+
+async def test_configuration_stays_through_an_outage_and_goes_on_after(start_fleet):
+    async with start_fleet(data_centres=("muscat-a",)) as fleet:
+        await fleet.switch("platform", down=True)
+        await asyncio.sleep(1.0)
+        assert (await fleet.chat("muscat-a-0", model="nothing")).status == 404
+        refused = await fleet.ask(
+            "control",
+            "PUT",
+            "/resources/route/verbena",
+            {"generation": 1, "spec": {"pool": "verbena-pool"}},
+        )
+        assert refused.status == 503
+        assert refused.json()["outcome"] == "unknown"
+        await fleet.switch("platform")
+        await fleet.apply("route", "verbena", {"pool": "verbena-pool"}, 1)
+        await fleet.until(lambda: in_force(fleet, "route", "verbena"))
