Carry a chat call as one object through its tries

Read as a newcomer: three functions passed six values on. Found on the way: in a pool of one endpoint a quarantined run was not counted as one, so that its request was never convicted; the call now names the endpoint it runs alone on.

--- a/verbenagrade/transport/chat.py
+++ b/verbenagrade/transport/chat.py
@@ -3,7 +3,8 @@
 import asyncio
 import contextlib
 import hashlib
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
 from aiohttp import web
 
@@ -40,13 +41,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Run:
-    """One request on its way through the endpoints that it is tried on."""
+class ChatCall:
+    """One caller's request, and the endpoint that it has to run alone on, if any."""
 
+    request: web.Request
+    ask: Ask
     asked: ChatRequest
-    outcome: RequestOutcome
     digest: str
-    quarantined: bool
+    alone_on: str = ""
 
 
 class ChatService:
@@ -75,55 +77,41 @@
         """
         ask = self._ask(caller, asked)
         digest = hashlib.sha256(asked.body).hexdigest()
+        call = ChatCall(request, ask, asked, digest)
         names = {endpoint.name for endpoint in ask.pool.endpoints}
         left = set(names)
         while True:
             alone_on = await self.quarantine.admit(digest, sorted(left))
             if not alone_on:
-                return await self._serve(request, ask, asked, digest, frozenset())
-            others = frozenset(names - {alone_on})
+                return await self._serve(call, frozenset())
+            alone = replace(call, alone_on=alone_on)
             try:
-                return await self._serve_alone(
-                    request, ask, asked, digest, alone_on, others
-                )
+                return await self._serve_alone(alone, names - {alone_on})
             except UpstreamUnreachableError:
                 left.discard(alone_on)
 
     async def _serve_alone(
-        self,
-        request: web.Request,
-        ask: Ask,
-        asked: ChatRequest,
-        digest: str,
-        endpoint: str,
-        others: frozenset[str],
+        self, call: ChatCall, others: Iterable[str]
     ) -> web.StreamResponse:
         """Serves a suspected request on an endpoint that runs no other one."""
         succeeded = False
         try:
-            response = await self._serve(request, ask, asked, digest, others)
-            succeeded = self.quarantine.record.verdict(digest) is Verdict.SUSPECTED
+            response = await self._serve(call, others)
+            verdict = self.quarantine.record.verdict(call.digest)
+            succeeded = verdict is Verdict.SUSPECTED
             return response
         finally:
-            await self.quarantine.ended(digest, endpoint, succeeded)
+            await self.quarantine.ended(call.digest, call.alone_on, succeeded)
 
-    async def _serve(
-        self,
-        request: web.Request,
-        ask: Ask,
-        asked: ChatRequest,
-        digest: str,
-        barred: frozenset[str],
-    ) -> web.StreamResponse:
+    async def _serve(self, call: ChatCall, barred: Iterable[str]) -> web.StreamResponse:
+        """Tries endpoints until one takes the request, but for the barred ones."""
         outcome = RequestOutcome()
         excluded = set(barred)
         while True:
-            admission = await self.desk.admit(ask, excluded)
+            admission = await self.desk.admit(call.ask, excluded)
             outcome.advance("reserve")
             try:
-                return await self._run(
-                    request, admission, Run(asked, outcome, digest, bool(barred))
-                )
+                return await self._run(call, admission, outcome)
             except UpstreamForgotError:
                 outcome.advance("withdraw")
                 await self._start_anew(admission)
@@ -174,18 +162,15 @@
         self.desk.withdraw(admission, unreachable=True)
 
     async def _run(
-        self,
-        request: web.Request,
-        admission: Admission,
-        run: Run,
+        self, call: ChatCall, admission: Admission, outcome: RequestOutcome
     ) -> web.StreamResponse:
-        asked, outcome = run.asked, run.outcome
+        """Runs one attempt and bills it, however it ends."""
         outcome.advance("send")
-        answer = EngineAnswer(self.client, admission, asked)
+        answer = EngineAnswer(self.client, admission, call.asked)
         response = _event_stream(admission)
         try:
-            if asked.stream:
-                await self._stream(request, response, answer)
+            if call.asked.stream:
+                await self._stream(call.request, response, answer)
             else:
                 response = await self._whole(answer)
         except UpstreamUnreachableError:
@@ -196,8 +181,9 @@
                 raise
             if _is_lost_earlier(admission, response, error):
                 raise
-            await self._bill_broken(admission, answer.meter.usage, run, error)
-            return await self._end_visibly(request, response, error)
+            outcome.advance("break_off")
+            await self._bill_broken(call, answer, error)
+            return await self._end_visibly(call.request, response, error)
         self.desk.finish(admission, _used(answer.meter.usage, "answered"))
         outcome.advance("answer")
         return response
@@ -256,19 +242,16 @@
         return response
 
     async def _bill_broken(
-        self, admission: Admission, seen: Usage, run: Run, error: Exception
+        self, call: ChatCall, answer: EngineAnswer, error: Exception
     ) -> None:
         """Bills what the endpoint counted, or else what reached this router."""
-        attempt = admission.reserved.attempt
-        name = admission.endpoint.name
+        admission = answer.admission
+        attempt, name = admission.reserved.attempt, admission.endpoint.name
         record = await self.client.close(admission.endpoint.url, attempt)
-        run.outcome.advance("break_off")
         if _is_crash(record, error):
-            await self.quarantine.crashed(run.digest, name, run.quarantined)
-        log_event(
-            Event.REQUEST_BROKEN, attempt=attempt, endpoint=admission.endpoint.name
-        )
-        self.desk.finish(admission, _used_when_broken(record, seen))
+            await self.quarantine.crashed(call.digest, name, bool(call.alone_on))
+        log_event(Event.REQUEST_BROKEN, attempt=attempt, endpoint=name)
+        self.desk.finish(admission, _used_when_broken(record, answer.meter.usage))
 
 
 def _is_lost_earlier(
