--- a/verbenagrade/tests/test_operators.py
+++ b/verbenagrade/tests/test_operators.py
@@ -35,6 +35,8 @@
         await fleet.until(fleet.settled)
         code, text = await command(fleet, "explain", "mall")
         golden.note("explain", code, text.splitlines()[-1])
+        metrics = await fleet.ask("control", "GET", "/metrics")
+        assert b"verbenagrade_requests_total" in metrics.body
         golden.note("get", *await command(fleet, "get", "--kind", "budget"))
         path.write_text('{kind: "pool", name: "p", spec: {endpoints: 3}}')
         golden.note("a wrong spec", *await command(fleet, "apply", "-f", str(path)))
--- a/verbenagrade/transport/operators.py
+++ b/verbenagrade/transport/operators.py
@@ -27,6 +27,7 @@
     NotFoundError,
     VerbenagradeError,
 )
+from verbenagrade.metrics import ProcessMetrics
 from verbenagrade.protocol.problems import encode_problem, problem_of
 from verbenagrade.protocol.resources import (
     Awaited,
@@ -53,19 +54,21 @@
         self.table = table
         self.objects = objects
         self.vm_list = vm_list
+        self.metrics = ProcessMetrics()
 
     def application(self) -> web.Application:
         """Returns the application to serve."""
         app = web.Application()
         resource = "/resources/{kind}/{name}"
-        app.router.add_get("/resources", _answering(self._list))
-        app.router.add_get("/resources/{kind}", _answering(self._list))
-        app.router.add_get(resource, _answering(self._get))
-        app.router.add_put(resource, _answering(self._apply))
-        app.router.add_get(f"{resource}/status", _answering(self._status))
-        app.router.add_get("/budgets/{name}", _answering(self._budget))
-        app.router.add_get("/explain/{workspace}", _answering(self._explain))
-        app.router.add_get("/healthz", _answering(_healthy))
+        app.router.add_get("/resources", self._answering(self._list))
+        app.router.add_get("/resources/{kind}", self._answering(self._list))
+        app.router.add_get(resource, self._answering(self._get))
+        app.router.add_put(resource, self._answering(self._apply))
+        app.router.add_get(f"{resource}/status", self._answering(self._status))
+        app.router.add_get("/budgets/{name}", self._answering(self._budget))
+        app.router.add_get("/explain/{workspace}", self._answering(self._explain))
+        app.router.add_get("/healthz", self._answering(_healthy))
+        app.router.add_get("/metrics", self._metrics)
         return app
 
     async def _list(self, request: web.Request) -> ListReply:
@@ -133,25 +136,37 @@
         bills = await bills_of_workspace(self.objects, workspace)
         return ExplainReply(workspace, total_tokens(bills), bills)
 
+    async def _metrics(self, request: web.Request) -> web.Response:
+        accepts = tuple(request.headers.getall("Accept", ()))
+        return web.Response(
+            body=self.metrics.render(accepts), content_type="text/plain"
+        )
 
-async def _healthy(_request: web.Request) -> str:
-    return "ok"
+    def _answering(
+        self, handler: Handler
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        """Returns a handler that encodes its answer, or its error as a problem."""
+
+        async def answer(request: web.Request) -> web.Response:
+            """Runs the handler and encodes what it returns."""
+            try:
+                body = msgspec.json.encode(await handler(request))
+            except VerbenagradeError as error:
+                return self._refuse(error)
+            self.metrics.requests.inc({"outcome": "answered"})
+            return web.Response(body=body, content_type="application/json")
 
+        return answer
 
-def _answering(handler: Handler) -> Callable[[web.Request], Awaitable[web.Response]]:
-    """Returns a handler that encodes its answer, or its error as a problem."""
+    def _refuse(self, error: VerbenagradeError) -> web.Response:
+        problem = problem_of(error)
+        self.metrics.requests.inc({"outcome": problem.kind})
+        return web.Response(
+            status=problem.status,
+            body=encode_problem(problem),
+            content_type="application/problem+json",
+        )
 
-    async def answer(request: web.Request) -> web.Response:
-        """Runs the handler and encodes what it returns."""
-        try:
-            body = msgspec.json.encode(await handler(request))
-            return web.Response(body=body, content_type="application/json")
-        except VerbenagradeError as error:
-            problem = problem_of(error)
-            return web.Response(
-                status=problem.status,
-                body=encode_problem(problem),
-                content_type="application/problem+json",
-            )
 
-    return answer
+async def _healthy(_request: web.Request) -> str:
+    return "ok"
