Find a keyed attempt at every VM that may know it

Cause: a router whose holder by rank could not be reached was its own holder, with a witness in another data centre. When it was lost, the other router of its data centre was the holder by rank again, knew nothing of the attempt, and the retry ran once more. Witnesses did not remember idempotency keys, and a retry asked nobody but the holder that it drew from.

Ruled out: engines forgetting the attempt (they held it), the digest of the body (equal in both).

Now a witness remembers the key, and a router that doesn't know a key asks the VMs of its data centre and the first by rank of each other one. Attempts of which nothing ran are forgotten and not learned again.

--- a/verbenagrade/coordination/instance.py
+++ b/verbenagrade/coordination/instance.py
@@ -13,8 +13,10 @@
 from verbenagrade.state.membership import Members
 from verbenagrade.state.messages import (
     Answer,
+    AttemptUnknown,
     Claims,
     CrashReport,
+    FindAttempt,
     Heartbeat,
     HeartbeatReply,
     Message,
@@ -68,16 +70,26 @@
                 return self.holder.settle(message)
             case Witness():
                 return self.spender.witnesses.witness(message)
+            case FindAttempt():
+                found = self.holder.attempts.find(message.workspace, message.key)
+                return found or AttemptUnknown()
             case Claims():
                 claims = self.spender.claims(message)
                 return replace(claims, orphans=self.holder.orphans_of(message.lost))
+            case CrashReport() | QuarantineRequest() | QuarantineEnd():
+                return self._quarantine(message)
+            case Heartbeat():
+                self.members.heard(message.sender, message.revision)
+                return HeartbeatReply(self.instance, self.revision)
+        raise PeerSilentError("no such message here; upgrade this VM")
+
+    def _quarantine(
+        self, message: CrashReport | QuarantineRequest | QuarantineEnd
+    ) -> Answer:
+        match message:
             case CrashReport():
                 return self.quarantine.take_report(message)
             case QuarantineRequest():
                 return self.quarantine.give_slot(message)
             case QuarantineEnd():
                 return self.quarantine.take_end(message)
-            case Heartbeat():
-                self.members.heard(message.sender, message.revision)
-                return HeartbeatReply(self.instance, self.revision)
-        raise PeerSilentError("no such message here; upgrade this VM")
--- a/verbenagrade/coordination/spender.py
+++ b/verbenagrade/coordination/spender.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, replace
 
+from verbenagrade.coordination.earlier import find_elsewhere
 from verbenagrade.coordination.holder import Holder
 from verbenagrade.coordination.ports import Clock
 from verbenagrade.coordination.settlement import Call, Settlements
@@ -72,7 +73,7 @@
         self.limits = limits
         self.clock = clock
         self.settlements = Settlements(instance, members, holder, call, clock)
-        self.witnesses = Witnesses(members, call, clock)
+        self.witnesses = Witnesses(members, holder.attempts, call, clock)
         self.fenced: set[Instance] = set()
 
     async def reserve(self, order: ReserveOrder) -> Reserved | Earlier:
@@ -83,7 +84,7 @@
         """
         if self.settlements.unsettled() >= self.limits.unsettled_attempts:
             raise OverloadedError("too many unsettled requests; retry in a second")
-        earlier = self.holder.attempts.find(order.workspace, order.key)
+        earlier = await self._earlier(order)
         if earlier is not None:
             self.settlements.joined(earlier.attempt, earlier.holder)
             return earlier
@@ -134,6 +135,16 @@
         witnessed = self.witnesses.known_of(message.lost)
         return replace(claimed, reservations=(*claimed.reservations, *witnessed))
 
+    async def _earlier(self, order: ReserveOrder) -> Earlier | None:
+        """Returns the attempt that the order's key was used for, if any."""
+        if not order.key:
+            return None
+        attempts = self.holder.attempts
+        known = attempts.find(order.workspace, order.key)
+        return known or await find_elsewhere(
+            order, self.members, self.call, self.clock(), attempts
+        )
+
     def _candidates(self, budget: str) -> tuple[MemberVm, ...]:
         """Orders the holders to ask: two of this data centre, one of each other."""
         now = self.clock()
--- a/verbenagrade/coordination/tests/test_spender.py
+++ b/verbenagrade/coordination/tests/test_spender.py
@@ -14,10 +14,13 @@
 )
 from verbenagrade.state import (
     Accepted,
+    AttemptUnknown,
     Bill,
     Claims,
     Denial,
     Denied,
+    Earlier,
+    FindAttempt,
     GrantId,
     Instance,
     Members,
@@ -206,3 +209,43 @@
     spender.settlements.accounts[OTHER].asked_at = -100.0
     await spender.settle()
     assert spender.settlements.unsettled() == 0
+
+
+def asking(answers):
+    """Returns a call that knows attempts by VM and grants what is asked for."""
+
+    async def call(member, message):
+        if isinstance(message, FindAttempt):
+            return answers.get(member.vm, AttemptUnknown())
+        return Reserved(message.order.attempt, message.order.tokens, GRANT)
+
+    return call
+
+
+async def test_a_retry_asks_every_vm_that_may_know_its_attempt():
+    """The holder by rank was unreachable when the attempt ran, and knows nothing."""
+    earlier = Earlier("first", "e", 10, GrantId("b", HEIR), HEIR)
+    spender = spender_of(asking({"vm-3": earlier}))
+    retry = replace(order_of("again", 10), key="roster-7")
+    assert await spender.reserve(retry) == earlier
+    spender.holder.attempts.forget("w", "roster-7", "first")
+    assert isinstance(await spender.reserve(retry), Reserved)
+
+
+async def test_a_witness_knows_the_attempt_of_a_key_until_it_never_ran():
+    sent = []
+
+    async def call(member, message):
+        sent.append(message)
+        return AttemptUnknown() if isinstance(message, FindAttempt) else Witnessed()
+
+    spender = own_holder_spender(call)
+    order = replace(order_of("a", 10), budget="c", spender=OWN, key="roster-7")
+    answer = await spender.reserve(order)
+    witness = spender_of(call)
+    witness.witnesses.witness(sent[-1])
+    assert witness.holder.attempts.find("w", "roster-7").attempt == answer.attempt
+    spender.cancel(answer.attempt, "c")
+    await spender.settle()
+    witness.witnesses.witness(sent[-1])
+    assert witness.holder.attempts.find("w", "roster-7") is None
--- a/verbenagrade/coordination/witnesses.py
+++ b/verbenagrade/coordination/witnesses.py
@@ -7,7 +7,8 @@
 from verbenagrade.coordination.settlement import Call
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PeerError
-from verbenagrade.state.holding import Reservation
+from verbenagrade.state.attempts import KnownAttempts
+from verbenagrade.state.holding import Reservation, earlier_of
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.membership import Members, MemberVm, rank
 from verbenagrade.state.messages import Witness, Witnessed
@@ -20,8 +21,11 @@
 class Witnesses:
     """What this instance witnesses for others, and others for it."""
 
-    def __init__(self, members: Members, call: Call, clock: Clock) -> None:
+    def __init__(
+        self, members: Members, attempts: KnownAttempts, call: Call, clock: Clock
+    ) -> None:
         self.members = members
+        self.attempts = attempts
         self.call = call
         self.clock = clock
         self.known: dict[str, Reservation] = {}
@@ -30,9 +34,15 @@
     def witness(self, message: Witness) -> Witnessed:
         """Knows of reservations that another instance gave itself."""
         for reservation in message.reservations:
-            self.known[reservation.order.attempt] = reservation
+            order, owner = reservation.order, reservation.grant.owner
+            self.known[order.attempt] = reservation
+            earlier = earlier_of(order, reservation, owner)
+            self.attempts.note(order.workspace, order.key, earlier)
         for attempt in message.ended:
-            self.known.pop(attempt, None)
+            ended = self.known.pop(attempt, None)
+            if ended is not None and attempt in message.never_ran:
+                order = ended.order
+                self.attempts.forget(order.workspace, order.key, attempt)
         return Witnessed()
 
     def known_of(self, lost: Instance) -> tuple[Reservation, ...]:
@@ -66,12 +76,16 @@
                 ended[member].append(attempt)
         for member, attempts in ended.items():
             try:
-                await self.call(member, Witness(ended=tuple(attempts)))
+                await self.call(member, self._ended(attempts))
             except PeerError:
                 continue
             for attempt in attempts:
                 self.witness_of.pop(attempt, None)
 
+    def _ended(self, attempts: list[str]) -> Witness:
+        never_ran = (a for a in attempts if a in self.attempts.forgotten)
+        return Witness(ended=tuple(attempts), never_ran=tuple(never_ran))
+
     def _candidates(self, budget: str) -> tuple[MemberVm, ...]:
         now = self.clock()
         near = rank(budget, self.members.usable(self.members.own.data_centre, now))
--- a/verbenagrade/protocol/peer.py
+++ b/verbenagrade/protocol/peer.py
@@ -7,10 +7,12 @@
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.messages import (
     Answer,
+    AttemptUnknown,
     Claims,
     ClaimsReply,
     CrashReport,
     Denied,
+    FindAttempt,
     Heartbeat,
     HeartbeatReply,
     Message,
@@ -41,6 +43,8 @@
         SettleReply,
         Witness,
         Witnessed,
+        FindAttempt,
+        AttemptUnknown,
         ClaimsReply,
         HeartbeatReply,
         CrashReport,
--- a/verbenagrade/state/attempts.py
+++ b/verbenagrade/state/attempts.py
@@ -18,6 +18,7 @@
 
     def __init__(self) -> None:
         self.by_key: OrderedDict[tuple[str, str], Earlier] = OrderedDict()
+        self.forgotten: OrderedDict[str, None] = OrderedDict()
 
     def note(self, workspace: str, key: str, attempt: Earlier) -> None:
         """Remembers an attempt; without a key there is nothing to remember."""
@@ -33,7 +34,10 @@
         return self.by_key.get((workspace, key)) if key else None
 
     def forget(self, workspace: str, key: str, attempt: str) -> None:
-        """Forgets an attempt of which nothing ran."""
+        """Forgets an attempt of which nothing ran, and does not learn it again."""
+        self.forgotten[attempt] = None
+        if len(self.forgotten) > KEYS_KEPT:
+            self.forgotten.popitem(last=False)
         known = self.by_key.get((workspace, key))
         if known is not None and known.attempt == attempt:
             del self.by_key[workspace, key]
--- a/verbenagrade/state/holding.py
+++ b/verbenagrade/state/holding.py
@@ -98,10 +98,12 @@
     journal_from: int = 0
 
 
-def earlier_of(order: ReserveOrder, answer: Reserved, holder: Instance) -> Earlier:
+def earlier_of(
+    order: ReserveOrder, answer: Reserved | Reservation, holder: Instance
+) -> Earlier:
     """Returns what a retry of an attempt needs to take it up."""
     return Earlier(
-        attempt=answer.attempt,
+        attempt=order.attempt,
         endpoint=order.endpoint,
         tokens=answer.tokens,
         grant=answer.grant,
--- a/verbenagrade/state/messages.py
+++ b/verbenagrade/state/messages.py
@@ -10,11 +10,13 @@
 __all__ = [
     "Accepted",
     "Answer",
+    "AttemptUnknown",
     "Claims",
     "ClaimsReply",
     "CrashReport",
     "Denial",
     "Denied",
+    "FindAttempt",
     "Heartbeat",
     "HeartbeatReply",
     "Message",
@@ -108,11 +110,13 @@
 class Witness:
     """Asks another instance to know of reservations that a holder gave itself.
 
-    Those in ``ended`` need not be known any more.
+    Those in ``ended`` need not be known any more. Of those in ``never_ran``
+    nothing ran, so their idempotency keys are free.
     """
 
     reservations: tuple[Reservation, ...] = ()
     ended: tuple[str, ...] = ()
+    never_ran: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +124,19 @@
     """The reservations are known, and the ended ones forgotten."""
 
 
+@dataclass(frozen=True, slots=True)
+class FindAttempt:
+    """Asks which attempt an idempotency key of a workspace was used for."""
+
+    workspace: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptUnknown:
+    """No attempt of the key is known here."""
+
+
 @dataclass(frozen=True, slots=True)
 class Claims:
     """Asks for all that a spender holds from a lost holder.
@@ -211,6 +228,7 @@
     Reserve
     | Settle
     | Witness
+    | FindAttempt
     | Claims
     | Heartbeat
     | CrashReport
@@ -221,6 +239,7 @@
     Reserved
     | Denied
     | Earlier
+    | AttemptUnknown
     | SettleReply
     | Witnessed
     | ClaimsReply
--- a/verbenagrade/tests/test_budget_failures.py
+++ b/verbenagrade/tests/test_budget_failures.py
@@ -64,6 +64,24 @@
         assert await fleet.until(lambda: accounts_agree(fleet))
 
 
+async def test_retry_elsewhere_finds_a_run_that_only_a_far_vm_witnessed(start_fleet):
+    """The other VM of the data centre was down when the first one took the request."""
+    async with start_fleet() as fleet:
+        await slow_engines(fleet)
+        fleet.kill("muscat-a-1")
+        key = {"headers": {"Idempotency-Key": "roster-8"}}
+        request = await fleet.stream("muscat-a-0", **LONG, **key)
+        fleet.start_router("muscat-a-1")
+        await fleet.up("muscat-a-1", "/readyz")
+        fleet.kill("muscat-a-0")
+        await request
+        again = await fleet.chat("muscat-a-1", stream=True, **LONG, **key)
+        assert again.whole and again.events()[-1] == "[DONE]"
+        assert len(await fleet.served()) == 1
+        fleet.start_router("muscat-a-0")
+        assert await fleet.until(lambda: accounts_agree(fleet))
+
+
 async def test_holder_killed_with_bills_and_reservations(start_fleet):
     """Its grants are recovered to the token, and nothing is billed twice."""
     async with start_fleet(routers=3) as fleet:
