Keep a reservation while its witness is being asked

Cause: a router that is its own holder recorded the witness of a reservation before it asked it, and opened the reservation afterwards. A settlement that fell in between took the attempt for settled and told the witness to forget it.

Now witnesses are recorded once the question is over, all that were asked, so that one whose answer was lost is told of the end as well.

--- a/verbenagrade/coordination/tests/test_spender.py
+++ b/verbenagrade/coordination/tests/test_spender.py
@@ -167,6 +167,43 @@
     assert claims.reservations == message.reservations
 
 
+async def test_a_reservation_is_not_settled_while_its_witness_is_asked():
+    """A settlement that falls into the question must not end the reservation."""
+    ended = []
+
+    async def call(member, message):
+        ended.extend(message.ended)
+        if message.reservations:
+            await spender.settle()
+        return Witnessed()
+
+    spender = own_holder_spender(call)
+    await spender.reserve(replace(order_of("a", 10), budget="c", spender=OWN))
+    await spender.settle()
+    assert not ended
+
+
+async def test_a_witness_that_may_have_heard_is_told_of_the_end():
+    asked, ended = [], []
+
+    async def call(member, message):
+        if message.reservations:
+            asked.append(member.vm)
+            if len(asked) == 1:
+                raise PeerSilentError("silent")
+        ended.extend((member.vm, attempt) for attempt in message.ended)
+        return Witnessed()
+
+    spender = own_holder_spender(call)
+    spender.members.suspect_until = {}
+    order = replace(order_of("a", 10), budget="c", spender=OWN)
+    answer = await spender.reserve(order)
+    spender.cancel(answer.attempt, "c")
+    await spender.settle()
+    assert sorted(asked) == ["vm-2", "vm-3"]
+    assert sorted(ended) == [("vm-2", answer.attempt), ("vm-3", answer.attempt)]
+
+
 async def test_without_a_witness_or_a_mark_in_the_table_nothing_runs():
     async def call(member, message):
         raise PeerUnreachableError("gone")
--- a/verbenagrade/coordination/witnesses.py
+++ b/verbenagrade/coordination/witnesses.py
@@ -29,7 +29,7 @@
         self.call = call
         self.clock = clock
         self.known: dict[str, Reservation] = {}
-        self.witness_of: dict[str, MemberVm] = {}
+        self.witnesses_of: dict[str, tuple[MemberVm, ...]] = {}
 
     def witness(self, message: Witness) -> Witnessed:
         """Knows of reservations that another instance gave itself."""
@@ -54,33 +54,51 @@
         )
 
     async def find(self, reservation: Reservation) -> bool:
-        """Tells another instance of a reservation; false if none can be told."""
-        attempt = reservation.order.attempt
+        """Tells another instance of a reservation; false if none can be told.
+
+        The witnesses are recorded only once this is over: until then the
+        reservation is not open here, and ``release`` would take it for settled.
+        """
+        asked: list[MemberVm] = []
+        is_witnessed = False
         for member in self._candidates(reservation.order.budget):
-            self.witness_of[attempt] = member
-            try:
-                await self.call(member, Witness((reservation,)))
-            except PeerError as error:
-                self.members.suspect(member.vm, self.clock())
-                log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
-                continue
-            return True
-        self.witness_of.pop(attempt, None)
-        return False
+            asked.append(member)
+            if is_witnessed := await self._tell(member, reservation):
+                break
+        self.witnesses_of[reservation.order.attempt] = tuple(asked)
+        return is_witnessed
+
+    async def _tell(self, member: MemberVm, reservation: Reservation) -> bool:
+        try:
+            await self.call(member, Witness((reservation,)))
+        except PeerError as error:
+            self.members.suspect(member.vm, self.clock())
+            log_event(Event.PEER_UNREACHABLE, vm=member.vm, reason=str(error))
+            return False
+        return True
 
     async def release(self, is_settled: Callable[[str], bool]) -> None:
         """Lets witnesses forget attempts that are settled for good."""
         ended: dict[MemberVm, list[str]] = defaultdict(list)
-        for attempt, member in self.witness_of.items():
+        for attempt, members in self.witnesses_of.items():
             if is_settled(attempt):
-                ended[member].append(attempt)
+                for member in members:
+                    ended[member].append(attempt)
         for member, attempts in ended.items():
             try:
                 await self.call(member, self._ended(attempts))
             except PeerError:
-                continue
+                if member.vm in self.members.vms:
+                    continue
             for attempt in attempts:
-                self.witness_of.pop(attempt, None)
+                self._told(attempt, member)
+
+    def _told(self, attempt: str, member: MemberVm) -> None:
+        left = tuple(m for m in self.witnesses_of[attempt] if m != member)
+        if left:
+            self.witnesses_of[attempt] = left
+        else:
+            del self.witnesses_of[attempt]
 
     def _ended(self, attempts: list[str]) -> Witness:
         never_ran = (a for a in attempts if a in self.attempts.forgotten)
