--- a/verbenagrade/events/log.py
+++ b/verbenagrade/events/log.py
@@ -1,5 +1,6 @@
 """Writes events as one JSON object a line."""
 
+import logging
 import sys
 
 import logbook
@@ -13,6 +14,9 @@
 
 _logger = logbook.Logger("verbenagrade")
 
+QUIET_LIBRARIES = ("transitions",)
+"""Libraries that log each step of a call at level info; the events say the same."""
+
 
 def log_event(event: Event, **fields: object) -> None:
     """Logs an event with its fields.
@@ -72,3 +76,5 @@
     handler.formatter = format_record
     handler.push_application()
     redirect_logging()
+    for library in QUIET_LIBRARIES:
+        logging.getLogger(library).setLevel(logging.WARNING)
