Count a table as old while its changes still arrive

Cause: on a link of 5 Mbit/s a configuration of 1,852 routes takes 2.4 s to arrive. Besides, a call to the store had 1 s in all, also for a large answer: a gateway that starts on such a link could never read it.

Ruled out: the feed's own delay (the answer began at once), a lost notice.

Now a table's age counts from when an answer began to arrive, and it is in contact only when a question has stood for 0.3 s without an answer. Time-outs count from the last byte.

Both new tests fail without the change.

--- a/verbenagrade/coordination/following.py
+++ b/verbenagrade/coordination/following.py
@@ -17,16 +17,57 @@
 in which a configuration has to be in force."""
 
 
+UNCHANGED_S = 0.3
+"""Time after which a question without an answer says that nothing has changed:
+the way to the store in the farthest region and back, several times."""
+
+
 class Contact:
-    """When the store last answered, and whether it is away for this VM."""
+    """How old what is known of a table may be.
+
+    An answer tells what the table was when it began to arrive. A large one takes
+    seconds on a slow link, in which the table may change again.
+    """
 
     def __init__(self, now: float) -> None:
         self.heard = now
+        self.asked = now
+        self.begun: float | None = None
         self.away = False
 
+    def ask(self, now: float) -> None:
+        """Records that the store is asked for changes."""
+        self.asked = now
+
+    def begin(self, now: float) -> None:
+        """Records that an answer begins to arrive."""
+        self.begun = now
+
+    def hear(self) -> None:
+        """Records that an answer was read in full."""
+        self.heard = self.asked if self.begun is None else self.begun
+        self.begun = None
+
+    def lose(self) -> None:
+        """Records that the store gave no answer."""
+        self.away = True
+        self.begun = None
+
     def stale_s(self, now: float) -> float:
-        """Returns for how many seconds nothing was heard, 0 while in contact."""
-        return now - self.heard if self.away else 0.0
+        """Returns for how many seconds a change may be unknown here.
+
+        It is 0 while the store, asked for changes, has none to tell.
+
+        >>> contact = Contact(now=0.0)
+        >>> contact.begin(1.0), contact.hear(), contact.ask(4.0)
+        (None, None, None)
+        >>> contact.stale_s(4.25), contact.stale_s(4.5)
+        (3.25, 0.0)
+        """
+        unsure = self.away or self.begun is not None
+        if unsure or now - self.asked < UNCHANGED_S:
+            return now - self.heard
+        return 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +96,16 @@
     pause_s = FIRST_PAUSE_S
     version: int | None = None
 
+    def begun() -> None:
+        """Records that an answer begins to arrive."""
+        contact.begin(clock())
+
     async def next_changes() -> Changes:
         """Reads the table in full, or waits for what has changed since."""
+        contact.ask(clock())
         if version is None:
             return await table.load(followed.name)
-        return await table.follow(followed.name, version, followed.wait_s)
+        return await table.follow(followed.name, version, followed.wait_s, begun)
 
     while True:
         try:
@@ -86,8 +132,9 @@
 
 
 def _note_away(contact: Contact, followed: FollowedTable, error: Exception) -> None:
-    if not contact.away:
-        contact.away = True
+    was_away = contact.away
+    contact.lose()
+    if not was_away:
         log_event(Event.PLATFORM_AWAY, table=followed.name, reason=str(error))
 
 
@@ -100,4 +147,4 @@
             table=followed.name,
             away_s=round(now - contact.heard, 3),
         )
-    contact.heard = now
+    contact.hear()
--- a/verbenagrade/coordination/ports.py
+++ b/verbenagrade/coordination/ports.py
@@ -125,15 +125,18 @@
 class SharedTable:
     """The platform's store as gateways use it; keys are ``table/part/key``.
 
-    ``read`` gives the rows of the keys, ``None`` for each absent one.
+    ``read`` gives the rows of the keys, ``None`` for each absent one. ``scan``
+    gives the rows of one part whose keys begin with a prefix, as of one moment.
     ``commit`` writes rows of one part if all checks hold. ``load`` reads a table
     in full. ``follow`` waits up to a time in seconds for changes after a
-    version, and raises ``HistoryLostError`` if they can't be told any more. All
-    raise ``PlatformError`` when no answer came; then a transaction may still
-    have been committed, or may be later if its checks still hold.
+    version, and raises ``HistoryLostError`` if they can't be told any more; it
+    calls back as soon as an answer begins to arrive. All raise ``PlatformError``
+    when no answer came; then a transaction may still have been committed, or may
+    be later if its checks still hold.
     """
 
     read: Callable[[tuple[str, ...]], Awaitable[tuple[Row | None, ...]]]
+    scan: Callable[[str], Awaitable[tuple[Row, ...]]]
     commit: Callable[[tuple[Check, ...], tuple[Write, ...]], Awaitable[Commit]]
     load: Callable[[str], Awaitable[Changes]]
-    follow: Callable[[str, int, float], Awaitable[Changes]]
+    follow: Callable[[str, int, float, Callable[[], None]], Awaitable[Changes]]
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import base64
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import aiohttp
 import msgspec
@@ -23,6 +23,11 @@
 HTTP_CONFLICT = 412
 HTTP_GONE = 410
 PAGE_ROWS = 500
+TRANSFER_S = 12.0
+"""Longest time for an answer to arrive once it has begun, in seconds: a
+configuration of 4 MB in base64 takes 9 s on a link of 5 Mbit/s."""
+
+LAST_CHARACTER = "\U0010ffff"
 MS_PER_S = 1000
 
 Query = Mapping[str, str | int]
@@ -100,6 +105,19 @@
         """Reads rows side by side."""
         return tuple(await asyncio.gather(*map(self._read_one, paths)))
 
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        """Reads the first page of the rows of a part whose keys begin so."""
+        address = _address(prefix)
+        query = {
+            "table": address.table,
+            "part": address.part,
+            "from": address.key,
+            "to": address.key + LAST_CHARACTER,
+            "limit": PAGE_ROWS,
+        }
+        found = await self._rows("rows-get", query, self.patience_s)
+        return tuple(_row(row) for row in found.rows)
+
     async def commit(
         self, checks: tuple[Check, ...], writes: tuple[Write, ...]
     ) -> Commit:
@@ -126,14 +144,16 @@
             found += [row for row in page.rows if row.key != start]
         return Changes(version, tuple(_row(row) for row in found), complete=True)
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Changes:
-        """Waits for changes of a table."""
+    async def follow(
+        self, table: str, after: int, wait_s: float, begun: Callable[[], None]
+    ) -> Changes:
+        """Waits for changes of a table; calls ``begun`` when an answer arrives."""
         query = {
             "table": table,
             "after_revision": after,
             "wait_ms": int(wait_s * MS_PER_S),
         }
-        page = await self._rows("rows-feed", query, wait_s + self.patience_s)
+        page = await self._rows("rows-feed", query, wait_s + self.patience_s, begun)
         # A row may be removed and written again in one answer; the last one holds.
         newest = {row.path(): row for row in page.rows}.values()
         return Changes(
@@ -153,18 +173,33 @@
         found = await self._rows("rows-get", query, self.patience_s)
         return next((_row(row) for row in found.rows if row.path() == path), None)
 
-    async def _rows(self, call: str, query: Query, wait_s: float) -> WireRows:
+    async def _rows(
+        self,
+        call: str,
+        query: Query,
+        wait_s: float,
+        begun: Callable[[], None] | None = None,
+    ) -> WireRows:
         """Reads rows; raises ``HistoryLostError`` where history is missing."""
-        reply = await self._ask("GET", call, query, None, wait_s)
+        reply = await self._ask("GET", call, query, None, wait_s, begun)
         if reply.status == HTTP_GONE:
             raise HistoryLostError(f"{call}: history is gone; read the table in full")
         _check_status(call, reply)
         return _decode(reply)
 
     async def _ask(
-        self, method: str, call: str, query: Query, body: bytes | None, wait_s: float
+        self,
+        method: str,
+        call: str,
+        query: Query,
+        body: bytes | None,
+        wait_s: float,
+        begun: Callable[[], None] | None = None,
     ) -> WireReply:
-        """Makes one call and returns its answer."""
+        """Makes one call and returns its answer.
+
+        ``wait_s`` is the longest time without a byte of it, in seconds.
+        """
         try:
             async with self.session.request(
                 method,
@@ -172,8 +207,14 @@
                 params=query,
                 data=body,
                 headers={"Content-Type": "application/json"} if body else {},
-                timeout=aiohttp.ClientTimeout(total=wait_s),
+                timeout=aiohttp.ClientTimeout(
+                    total=wait_s + TRANSFER_S,
+                    sock_connect=self.patience_s,
+                    sock_read=wait_s,
+                ),
             ) as response:
+                if begun is not None:
+                    begun()
                 return WireReply(response.status, await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = str(error) or type(error).__name__
@@ -185,7 +226,9 @@
 ) -> SharedTable:
     """Returns the platform's store as plain functions."""
     client = StoreClient(session, settings)
-    return SharedTable(client.read, client.commit, client.load, client.follow)
+    return SharedTable(
+        client.read, client.scan, client.commit, client.load, client.follow
+    )
 
 
 def _transaction(
--- a/verbenagrade/platform/tests/store_standin.py
+++ b/verbenagrade/platform/tests/store_standin.py
@@ -7,12 +7,16 @@
 import msgspec
 from aiohttp import web
 
+SLOW_PARTS = 8
+"""Parts in which a slow answer arrives."""
+
 
 class StoreStandIn:
     """A store whose answers can be refused, lost or held back.
 
     ``status`` refuses every call with it. ``lose_answers`` drops that many
     answers to transactions after they took effect. ``silent`` answers nothing.
+    ``body_s`` is how long rows take to arrive after the head of an answer.
     """
 
     def __init__(self) -> None:
@@ -23,6 +27,7 @@
         self.status = 0
         self.silent = False
         self.lose_answers = 0
+        self.body_s = 0.0
         self.calls = 0
         self.changed = asyncio.Event()
         self.runner: web.AppRunner | None = None
@@ -116,7 +121,10 @@
         )
         rows = [self._row(name) for name in names[:limit]]
         truncated = len(names) > limit
-        return _answer({"rows": rows, "truncated": truncated, "ver": self.version})
+        answer = {"rows": rows, "truncated": truncated, "ver": self.version}
+        if self.body_s and rows:
+            return await self._answer_slowly(request, answer)
+        return _answer(answer)
 
     async def _feed(self, request):
         table, after = request.query["table"], int(request.query["after_revision"])
@@ -129,7 +137,20 @@
                     await self.changed.wait()
         except TimeoutError:
             pass
-        return _answer({"rows": self._since(table, after), "ver": self.version})
+        answer = {"rows": self._since(table, after), "ver": self.version}
+        if self.body_s and answer["rows"]:
+            return await self._answer_slowly(request, answer)
+        return _answer(answer)
+
+    async def _answer_slowly(self, request, answer):
+        response = web.StreamResponse(headers={"Content-Type": "application/json"})
+        await response.prepare(request)
+        body = msgspec.json.encode(answer)
+        middle = len(body) // SLOW_PARTS + 1
+        for start in range(0, len(body), middle):
+            await asyncio.sleep(self.body_s / SLOW_PARTS)
+            await response.write(body[start : start + middle])
+        return response
 
     def _since(self, table, after):
         return [r for r in self.log if r["table"] == table and r["ver"] > after]
--- a/verbenagrade/platform/tests/test_following.py
+++ b/verbenagrade/platform/tests/test_following.py
@@ -118,3 +118,27 @@
     assert (await world.call("/nowhere/"))[0] == 503
     assert (await world.call("/safe/", key="unknown"))[0] == 503
     assert (await world.call("/safe/", key=KEY))[0] == 200
+
+
+async def test_route_is_not_called_unknown_while_a_large_change_arrives(world):
+    """A configuration of 1,800 routes took 2.4 s on a link of 5 Mbit/s."""
+    await world.replica(plain())
+    await world.start(configuration(1))
+    await world.until_ready()
+    await asyncio.sleep(0.5)
+    assert (await world.call("/unheard-of/"))[0] == 404
+    world.store.body_s = 1.8
+    world.store.put("op", "config", configuration(2, routes=[route("/new/", "safe")]))
+    await asyncio.sleep(1.3)
+    assert (await world.call("/new/"))[0] == 503
+    await world.until(lambda: world.core.index.configuration.version == 2)
+    assert (await world.call("/new/"))[0] == 200
+
+
+async def test_large_configuration_is_read_although_it_takes_long(world):
+    """A gateway that starts on a slow link must not give up while bytes arrive."""
+    world.store.body_s = 2.0
+    await world.replica(plain())
+    await world.start(configuration(1))
+    await world.until_ready()
+    assert (await world.call("/safe/"))[0] == 200
