Renew grants at half, and keep floors of two thirds of an even share

Cause: with grants renewed at 0.3 of what is kept, a VM whose workspace's callers all come to it had 7 s of demand left at worst when all VMs were cut off for 8 s.

--- a/benchmarks/grants/world.py
+++ b/benchmarks/grants/world.py
@@ -21,6 +21,9 @@
 RETRY_S = (0.05, 0.5)
 """Time after which a refused call comes again, once, at another VM, in seconds."""
 
+RESTART_S = 2.0
+"""Time in which lost VMs are back, in seconds."""
+
 TEND_S = 1.0
 """Period in which a gateway looks at its grants, in seconds."""
 
@@ -28,11 +31,12 @@
 @dataclass(frozen=True, slots=True)
 class Scenario:
     """What happens: outages of the store, and times at which all VMs are lost,
-    in seconds since the traffic began."""
+    in seconds since the traffic began, and how much longer than a day it lasts."""
 
     name: str
     outages: tuple[tuple[float, float], ...] = ()
     losses: tuple[float, ...] = ()
+    longer_s: float = 0.0
 
 
 @dataclass
@@ -66,9 +70,13 @@
         self.keepers: list[AllowanceKeeper] = []
         self.tenders: list[asyncio.Task[None]] = []
         self.calls: set[asyncio.Task[None]] = set()
-        self.day = list(arrivals(fleet, self.random))
+        self.day = list(
+            arrivals(fleet, self.random, fleet.length_s + scenario.longer_s)
+        )
         self.prepaid: dict[int, int] = {}
         for call in self.day:
+            if call.at > fleet.length_s:
+                break
             tokens = int(fleet.prepaid_factor * call.used)
             before = self.prepaid.get(call.workspace, 0)
             self.prepaid[call.workspace] = before + tokens
@@ -87,7 +95,7 @@
             task = asyncio.create_task(self._call(call))
             self.calls.add(task)
             task.add_done_callback(self.calls.discard)
-        await asyncio.gather(*self.calls)
+        await asyncio.gather(*self.calls, return_exceptions=True)
         for task in self.tenders:
             task.cancel()
         return self.figures
@@ -100,6 +108,12 @@
     def _lose_all(self) -> None:
         for task in (*self.tenders, *self.calls):
             task.cancel()
+        self.keepers = []
+        self.restart = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        """Starts all VMs again; until then calls find none."""
+        await asyncio.sleep(RESTART_S)
         self._start_all()
 
     def _keeper(self, vm: int) -> AllowanceKeeper:
@@ -128,6 +142,8 @@
         await self._try(call, self.random.randrange(self.fleet.vms))
 
     async def _try(self, call: Arrival, vm: int) -> bool:
+        if not self.keepers:
+            return False
         keeper, figures = self.keepers[vm], self.figures
         name = f"w{call.workspace}"
         try:
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -52,7 +52,7 @@
 IDLE_FACTOR = 2.0
 """Multiple of the horizon's demand above which tokens are returned."""
 
-REFILL_PART = 0.3
+REFILL_PART = 0.5
 """Part of what is kept free below which a grant is renewed in advance."""
 
 REVIEW_S = 4.0
--- a/verbenagrade/state/allowance.py
+++ b/verbenagrade/state/allowance.py
@@ -26,7 +26,7 @@
 """How fast the horizon shrinks with the part of a budget that is not spent. What a
 lost VM kept is lost to the workspace, which matters ever more towards the end."""
 
-FLOOR_PART = 2.0
+FLOOR_PART = 1.5
 """Divides a VM's even share of what is left into what it keeps free at least, in
 case the store is away when demand begins; it shrinks like the horizon."""
 
