Read pots before they are written; take demand by tokens again

Cause: a VM saw the pots that it did not draw on only when it looked at them every 4 s or more, so that after a loss of all VMs it held too much of what was left; and most first transactions conflicted, since the version known was old. Besides, the demand by calls times a mean size held too little for large calls when all VMs were cut off.

--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -10,7 +10,6 @@
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
 from verbenagrade.state.allowance import Allowance
-from verbenagrade.state.call_traffic import CallTraffic
 from verbenagrade.state.pots import POTS, Draw, draw_tokens, pot_limit, pot_order
 
 __all__ = [
@@ -58,11 +57,11 @@
 class Account:
     """This VM's dealings with one workspace's budget."""
 
-    def __init__(self, workspace: str, vm: str, every: CallTraffic, now: float) -> None:
+    def __init__(self, workspace: str, vm: str, now: float) -> None:
         self.workspace = workspace
         self.pots_key = f"grants/{workspace}/pot/"
         self.own_key = f"grants/{workspace}/vm/{vm}"
-        self.allowance = Allowance(every)
+        self.allowance = Allowance(now)
         self.pot_order = pot_order(workspace, vm)
         self.pots = [SeenRow() for _ in range(POTS)]
         self.own = SeenRow()
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -25,7 +25,6 @@
     kept_free,
     plan_grant,
 )
-from verbenagrade.state.call_traffic import CallTraffic
 
 __all__ = ["AllowanceKeeper"]
 
@@ -45,9 +44,13 @@
 IDLE_FACTOR = 2.0
 """Multiple of the horizon's demand above which tokens are returned."""
 
-REFILL_PART = 0.5
+REFILL_PART = 0.7
 """Part of what is kept free below which a grant is renewed in advance."""
 
+FRESH_S = 0.5
+"""Time after which other VMs have probably changed the pots, in seconds. Reading
+them costs a call, as a conflict would, and tells of all pots."""
+
 REVIEW_S = 4.0
 REVIEW_S_A_VM = 0.4
 """Time without an exchange after which a VM that holds tokens looks how far the
@@ -83,8 +86,6 @@
         self.clock = clock
         self.vms = 1
         self.random = random.Random(incarnation)
-        self.every = CallTraffic()
-        self.prepaid_total = 0
         self.accounts: dict[str, Account] = {}
         self.exchanges = Exchanges(table, incarnation, clock)
         self.failed_at = float("-inf")
@@ -99,7 +100,6 @@
         """
         account = self._account(workspace)
         lowered = prepaid < account.prepaid
-        self.prepaid_total += prepaid - account.prepaid
         account.prepaid = prepaid
         if lowered:
             account.seen = False
@@ -113,11 +113,11 @@
         """
         account = self._account(workspace)
         if account.allowance.reserve(bound):
-            account.allowance.note_call(1.0, self.clock())
+            account.allowance.note_demand(bound, self.clock())
             self._refill_soon(account)
             return
         if self._away():
-            account.allowance.note_call(REFUSED_PART, self.clock())
+            account.allowance.note_demand(int(REFUSED_PART * bound), self.clock())
             self._probe_soon(account)
             raise UnavailableError(
                 f"{workspace} has {account.allowance.free} tokens here, {bound} are"
@@ -131,7 +131,7 @@
                 self.failed_at = self.clock()
                 raise UnavailableError(f"no grant: {error}") from error
         if granted:
-            account.allowance.note_call(1.0, self.clock())
+            account.allowance.note_demand(bound, self.clock())
         else:
             left = account.prepaid - account.granted + account.allowance.free
             raise BudgetExhaustedError(
@@ -188,7 +188,7 @@
     def _account(self, workspace: str) -> Account:
         account = self.accounts.get(workspace)
         if account is None:
-            account = Account(workspace, self.vm, self.every, self.clock())
+            account = Account(workspace, self.vm, self.clock())
             self.accounts[workspace] = account
         return account
 
@@ -201,8 +201,7 @@
         """Returns the budget, with this VM's ``free`` tokens counted as left."""
         spent = account.spent + account.allowance.spent - account.own.spent
         left = account.prepaid - account.granted + free
-        part = account.prepaid / max(1, self.prepaid_total)
-        return BudgetView(account.prepaid, left, spent, self.vms, part)
+        return BudgetView(account.prepaid, left, spent, self.vms)
 
     def _surplus(self, account: Account) -> int:
         if account.granted > account.prepaid:
@@ -228,7 +227,7 @@
     async def _refill(self, account: Account) -> None:
         async with account.lock:
             try:
-                if account.uncertain or not account.seen:
+                if self._is_doubtful(account):
                     await self.exchanges.look(account)
                 plan = self._plan(account, 0)
                 for _ in range(REFILL_TRIES):
@@ -247,10 +246,9 @@
         for _ in range(EXCHANGE_TRIES):
             if account.allowance.reserve(bound):
                 return True
-            if account.uncertain or not account.seen:
+            if self._is_doubtful(account):
                 await self.exchanges.look(account)
                 fresh = True
-                continue
             need = bound - account.allowance.free
             tokens = self._plan(account, need)
             if tokens < need:
@@ -264,6 +262,12 @@
                 await self._back_off()
         raise UnavailableError("others change the budget too often; come back")
 
+    def _is_doubtful(self, account: Account) -> bool:
+        """Whether the pots have to be read before they are written."""
+        if account.uncertain or not account.seen:
+            return True
+        return self.clock() - account.reviewed > FRESH_S
+
     def _plan(self, account: Account, need: int) -> int:
         budget = self._budget(account, 0)
         horizon_s = self.tuning.grant_horizon_s
