Compare placement with simpler ways on a model of engines

A seeded model: batched steps that slow with the number running, prompts read in chunks between others' tokens, a cache that drops the least recently used parts. The tests compare means of two seeds. No gateway code changed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test lint setup bench bench-capacity soak
+.PHONY: demo test lint setup bench bench-capacity bench-grants bench-engines soak
 
 setup: $(VENV)/installed
 
@@ -28,5 +28,11 @@
 bench-capacity: setup
 	$(BIN)/python -m benchmarks.capacity
 
+bench-grants: setup
+	$(BIN)/python -m benchmarks.grants
+
+bench-engines: setup
+	$(BIN)/python -m benchmarks.engines
+
 soak: setup
 	$(BIN)/python -m soak
--- /dev/null
+++ b/benchmarks/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of calls on model engines, compared at virtual time."""
--- /dev/null
+++ b/benchmarks/engines/__main__.py
@@ -0,0 +1,37 @@
+"""Compares ways to place calls under each load pattern."""
+
+import typer
+
+from benchmarks.engines.load import Pattern
+from benchmarks.engines.policies import POLICIES
+from benchmarks.engines.world import Site, play
+
+__all__ = ["PATTERNS", "main"]
+
+PATTERNS = (
+    Pattern("calm"),
+    Pattern("burst of long prompts", burst=4.0),
+    Pattern("one hot prefix", hot=0.6),
+    Pattern("engines lost", lost=0.2),
+    Pattern("a zone without engines", empty_zone=True),
+)
+COLUMNS = ("worth", "first50", "first95", "pause95", "found", "busiest")
+
+
+def main(seed: int = 1, calls_per_s: float = 70.0) -> None:
+    """Plays every pattern with every policy."""
+    head = "".join(f"{column:>9}" for column in COLUMNS)
+    typer.echo(f"{'pattern':24}{'policy':10}{head}")
+    for pattern in PATTERNS:
+        for name, policy in POLICIES.items():
+            figures = play(Site(calls_per_s=calls_per_s), pattern, policy, seed)
+            values = (
+                figures.worth, figures.first_p50_s, figures.first_p95_s,
+                figures.pause_p95_s, figures.found, figures.busiest,
+            )  # fmt: skip
+            line = "".join(f"{value:9.3f}" for value in values)
+            typer.echo(f"{pattern.name:24}{name:10}{line}")
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/benchmarks/engines/policies.py
@@ -0,0 +1,110 @@
+"""Ways to choose an engine, each as one VM sees the engines."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from verbenagrade.state.directory import EndpointEntry
+from verbenagrade.state.endpoint_book import CallShape
+from verbenagrade.state.placement import PlacementTable, Standing
+
+__all__ = ["POLICIES", "Placer", "Policy"]
+
+Choose = Callable[[CallShape, float], EndpointEntry]
+
+BOUND = 1.25
+"""Calls at an engine, as a multiple of the mean, up to which it stays a prompt's
+home."""
+
+
+@dataclass(frozen=True, slots=True)
+class Placer:
+    """One VM's choice of an engine, and what it is told of calls."""
+
+    choose: Choose
+    sent: Callable[[EndpointEntry, str, CallShape, float], None]
+    answered: Callable[[EndpointEntry, str, CallShape, float], None]
+    ended: Callable[[EndpointEntry, str, bool, float], None]
+
+
+Policy = Callable[[Sequence[EndpointEntry], Standing, int], Placer]
+
+
+def product(entries: Sequence[EndpointEntry], standing: Standing, seed: int) -> Placer:
+    """The gateway's own table."""
+    table = PlacementTable(standing, seed)
+
+    def choose(shape: CallShape, now: float) -> EndpointEntry:
+        """Returns the engine of least cost."""
+        return table.choose(entries, (), shape, now).endpoint
+
+    return Placer(choose, table.sent, table.answered, table.ended)
+
+
+def counting(pick: Callable[..., EndpointEntry]) -> Policy:
+    """Makes a policy that knows how many calls this VM has at each engine."""
+
+    def policy(
+        entries: Sequence[EndpointEntry], _standing: Standing, seed: int
+    ) -> Placer:
+        """Returns a placer with counts of its own."""
+        calls: dict[str, int] = defaultdict(int)
+        rng = random.Random(seed)
+
+        def choose(shape: CallShape, _now: float) -> EndpointEntry:
+            """Returns the engine that the rule picks."""
+            return pick(entries, calls, shape, rng)
+
+        def sent(entry: EndpointEntry, *_details: object) -> None:
+            """Counts a call."""
+            calls[entry.name] += 1
+
+        def ended(entry: EndpointEntry, *_details: object) -> None:
+            """Takes a call off."""
+            calls[entry.name] -= 1
+
+        return Placer(choose, sent, lambda *_details: None, ended)
+
+    return policy
+
+
+def at_random(entries, _calls, _shape, rng) -> EndpointEntry:
+    """Picks any engine."""
+    return rng.choice(entries)
+
+
+def least(entries, calls, _shape, rng) -> EndpointEntry:
+    """Picks the engine with the fewest calls of this VM."""
+    return min(entries, key=lambda entry: (calls[entry.name], rng.random()))
+
+
+def two_choices(entries, calls, _shape, rng) -> EndpointEntry:
+    """Picks the less loaded one of two."""
+    return min(rng.sample(entries, 2), key=lambda entry: calls[entry.name])
+
+
+def affinity(entries, calls, shape, rng) -> EndpointEntry:
+    """Picks the prompt's home unless this VM has too many calls there."""
+    subject = shape.prompt[-2].name if len(shape.prompt) > 1 else ""
+    mean = (1 + sum(calls.values())) / len(entries)
+
+    def score(entry: EndpointEntry) -> int:
+        """Returns an engine's rendezvous score."""
+        return xxhash.xxh3_64_intdigest(f"{subject}|{entry.name}".encode())
+
+    for entry in sorted(entries, key=score, reverse=True):
+        if calls[entry.name] <= BOUND * mean:
+            return entry
+    return least(entries, calls, shape, rng)
+
+
+POLICIES: dict[str, Policy] = {
+    "product": product,
+    "random": counting(at_random),
+    "least": counting(least),
+    "two": counting(two_choices),
+    "affinity": counting(affinity),
+}
--- /dev/null
+++ b/benchmarks/engines/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of placement under load, without a network."""
--- /dev/null
+++ b/benchmarks/engines/tests/test_patterns.py
@@ -0,0 +1,33 @@
+"""Load patterns on engines: the gateway's placement against simpler ways."""
+
+import pytest
+
+from benchmarks.engines.load import Pattern
+from benchmarks.engines.policies import POLICIES
+from benchmarks.engines.world import Site, play
+
+SITE = Site(length_s=12.0)
+PATTERNS = (
+    Pattern("calm"),
+    Pattern("burst of long prompts", burst=4.0),
+    Pattern("one hot prefix", hot=0.6),
+    Pattern("engines lost", lost=0.2),
+    Pattern("a zone without engines", empty_zone=True),
+)
+
+
+@pytest.mark.parametrize("pattern", PATTERNS, ids=lambda pattern: pattern.name)
+def test_placement_earns_more_than_simpler_ways(pattern):
+    """Mean over two seeds of the worth earned in time."""
+
+    def worth(name):
+        """Returns a policy's mean."""
+        return sum(play(SITE, pattern, POLICIES[name], s).worth for s in range(2)) / 2
+
+    others = [worth(name) for name in POLICIES if name != "product"]
+    assert worth("product") > max(others)
+
+
+def test_same_seed_gives_the_same_figures():
+    figures = [play(SITE, PATTERNS[1], POLICIES["product"], 4) for _ in range(2)]
+    assert figures[0] == figures[1]
