Draw nothing from the pots when a grant that was read back covers the call

Cause: after a lost answer a VM reads its row; where the grant had been committed the call fits, but the transaction went on with a wish of nothing and took all that the richest pot had left. Found by reading; nothing was overspent.

--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -249,6 +249,7 @@
             if self._is_doubtful(account):
                 await self.exchanges.look(account)
                 fresh = True
+                continue
             need = bound - account.allowance.free
             tokens = self._plan(account, need)
             if tokens < need:
--- a/verbenagrade/platform/tests/test_prepaid.py
+++ b/verbenagrade/platform/tests/test_prepaid.py
@@ -191,6 +191,20 @@
         await keeper_of(rows, clock, "vm-2", prepaid=1003).reserve("hotel", 1)
 
 
+async def test_grant_whose_answer_was_lost_is_not_followed_by_another():
+    """Once it is read back it covers the call; the pots keep the rest."""
+    rows, clock = Rows(), Clock()
+    keeper = keeper_of(rows, clock, prepaid=80_000)
+    rows.lose = 1
+    with pytest.raises(UnavailableError):
+        await keeper.reserve("hotel", 100)
+    granted = rows.granted()
+    clock.now += 5.0
+    await keeper.reserve("hotel", 100)
+    await asyncio.gather(*keeper.refills)
+    assert rows.granted() == granted
+
+
 async def test_lowered_budget_is_not_spent_from_old_grants():
     rows, clock = Rows(), Clock()
     keeper = keeper_of(rows, clock)
--- a/verbenagrade/state/pots.py
+++ b/verbenagrade/state/pots.py
@@ -51,15 +51,17 @@
 
     One pot is enough if it has all that is wished, or the richest one has what is
     needed. Otherwise the richest pots together cover the need. Nothing is drawn if
-    they can't.
+    they can't, or if nothing is wished.
 
     >>> draw_tokens({0: 5, 1: 30, 2: 20}, order=(0, 2, 1), need=10, wish=15)
     (Draw(pot=2, tokens=15),)
     >>> draw_tokens({0: 5, 1: 30, 2: 20}, order=(0, 2, 1), need=45, wish=60)
     (Draw(pot=1, tokens=30), Draw(pot=2, tokens=15))
     """
+    if wish <= 0:
+        return ()
     for pot in order:
-        if left[pot] >= wish > 0:
+        if left[pot] >= wish:
             return (Draw(pot, wish),)
     richest = sorted(order, key=lambda pot: -left[pot])
     if left[richest[0]] >= max(1, need):
