--- a/benchmarks/engines/tests/test_patterns.py
+++ b/benchmarks/engines/tests/test_patterns.py
@@ -2,18 +2,11 @@
 
 import pytest
 
-from benchmarks.engines.load import Pattern
+from benchmarks.engines.__main__ import PATTERNS
 from benchmarks.engines.policies import POLICIES
 from benchmarks.engines.world import Site, play
 
 SITE = Site(length_s=12.0)
-PATTERNS = (
-    Pattern("calm"),
-    Pattern("burst of long prompts", burst=4.0),
-    Pattern("one hot prefix", hot=0.6),
-    Pattern("engines lost", lost=0.2),
-    Pattern("a zone without engines", empty_zone=True),
-)
 
 
 @pytest.mark.parametrize("pattern", PATTERNS, ids=lambda pattern: pattern.name)
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -36,7 +36,7 @@
 of a transaction's time."""
 
 EXCHANGE_TRIES = 8
-"""Transactions tried for one grant; others change the sum in between."""
+"""Transactions tried for one grant; others change the pots in between."""
 
 REFUSED_PART = 0.5
 """Part of a call that a refused one counts as in the demand: most come again."""
