Log and count how each response of the store was received

Event 511 gives the time until the store began to respond, the transfer time, the size and the number of superseded rows; three metrics give the same by table. The port's load reports the start of its response as follow does, so that the age of a table that is read in full counts from there too.

No decision has changed. The test fails without the event.

--- a/verbenagrade/coordination/ports.py
+++ b/verbenagrade/coordination/ports.py
@@ -116,13 +116,16 @@
     """Rows that changed up to ``version``, and the keys of removed rows.
 
     If ``complete`` is true, ``rows`` contains all rows of the table, not only the
-    changed ones.
+    changed ones. ``received_bytes`` is the size of the response, and ``superseded``
+    the number of its rows that a later row of the same response replaces.
     """
 
     version: int
     rows: tuple[Row, ...]
     removed: tuple[str, ...] = ()
     complete: bool = False
+    received_bytes: int = 0
+    superseded: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,8 +138,8 @@
     keys start with a prefix. ``commit`` writes rows of one partition if all checks
     hold. ``load`` reads a whole table. ``follow`` takes a table, a version, a time
     in seconds and a callback. It waits up to that time for changes after the
-    version, and calls the callback when a response begins to arrive. It raises
-    ``HistoryLostError`` if the store no longer has these changes. All functions
+    version, and raises ``HistoryLostError`` if the store no longer has these
+    changes. Both call the callback when a response begins to arrive. All functions
     raise ``PlatformError`` if no response arrives. A transaction may then have been
     committed, or may still be committed later if its checks hold at that time.
     """
@@ -144,5 +147,5 @@
     read: Callable[[tuple[str, ...]], Awaitable[tuple[Row | None, ...]]]
     scan: Callable[[str], Awaitable[tuple[Row, ...]]]
     commit: Callable[[tuple[Check, ...], tuple[Write, ...]], Awaitable[CommitResult]]
-    load: Callable[[str], Awaitable[Changes]]
+    load: Callable[[str, Callable[[], None]], Awaitable[Changes]]
     follow: Callable[[str, int, float, Callable[[], None]], Awaitable[Changes]]
--- a/verbenagrade/coordination/table_feed.py
+++ b/verbenagrade/coordination/table_feed.py
@@ -6,13 +6,13 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 from verbenagrade.coordination.ports import Changes, PlatformStore
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import HistoryLostError, PlatformError
 
-__all__ = ["FollowedTable", "TableFreshness", "follow_table"]
+__all__ = ["FollowedTable", "TableFreshness", "TableResponse", "follow_table"]
 
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.6
@@ -79,6 +79,26 @@
         return 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class TableResponse:
+    """How a response with rows of a table was received.
+
+    ``wait_s`` is the time from the request to the start of the response, and
+    ``transfer_s`` the time until its end, both in seconds. ``superseded`` counts the
+    rows that a later row of the same response replaces. ``complete`` is true if the
+    whole table was read.
+    """
+
+    table: str
+    version: int
+    rows: int
+    superseded: int
+    received_bytes: int
+    wait_s: float
+    transfer_s: float
+    complete: bool
+
+
 @dataclass(frozen=True, slots=True)
 class FollowedTable:
     """A table to follow, and the functions to call for its changes.
@@ -86,13 +106,14 @@
     ``wait_s`` is the longest time for which the store holds a request for changes
     open. ``apply`` is called with each set of changes. ``on_reconnect`` is called when
     the store responds again after an outage, before the changes since then are
-    applied.
+    applied. ``on_received`` is called for each response that contains rows.
     """
 
     name: str
     wait_s: float
     apply: Callable[[Changes], None]
     on_reconnect: Callable[[], None]
+    on_received: Callable[[TableResponse], None]
 
 
 async def follow_table(
@@ -115,7 +136,7 @@
         """Reads the table in full, or waits for changes since ``version``."""
         freshness.record_request(clock())
         if version is None:
-            return await table.load(followed.name)
+            return await table.load(followed.name, on_response)
         return await table.follow(followed.name, version, followed.wait_s, on_response)
 
     while True:
@@ -130,7 +151,7 @@
             await asyncio.sleep(backoff_s * jitter.uniform(0.5, 1.0))
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
             continue
-        _handle_response(freshness, followed, clock())
+        _handle_response(freshness, followed, changes, clock())
         backoff_s = MIN_BACKOFF_S
         version = changes.version
         followed.apply(changes)
@@ -152,8 +173,10 @@
 
 
 def _handle_response(
-    freshness: TableFreshness, followed: FollowedTable, now: float
+    freshness: TableFreshness, followed: FollowedTable, changes: Changes, now: float
 ) -> None:
+    if changes.rows or changes.removed:
+        _report_response(freshness, followed, changes, now)
     if freshness.unavailable:
         freshness.unavailable = False
         followed.on_reconnect()
@@ -163,3 +186,24 @@
             away_s=round(now - freshness.current_at, 3),
         )
     freshness.record_response()
+
+
+def _report_response(
+    freshness: TableFreshness, followed: FollowedTable, changes: Changes, now: float
+) -> None:
+    """Logs and counts a response, before ``freshness`` forgets when it began."""
+    started_at = freshness.response_started_at
+    if started_at is None:
+        started_at = now
+    response = TableResponse(
+        table=followed.name,
+        version=changes.version,
+        rows=len(changes.rows) + len(changes.removed),
+        superseded=changes.superseded,
+        received_bytes=changes.received_bytes,
+        wait_s=round(started_at - freshness.requested_at, 3),
+        transfer_s=round(now - started_at, 3),
+        complete=changes.complete,
+    )
+    log_event(Event.TABLE_RECEIVED, **asdict(response))
+    followed.on_received(response)
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -70,6 +70,7 @@
     DOCUMENT_IGNORED = (508, logbook.ERROR, "malformed configuration ignored")
     SETTINGS_RELOADED = (509, logbook.INFO, "settings reloaded")
     SETTINGS_REJECTED = (510, logbook.ERROR, "changed settings rejected")
+    TABLE_RECEIVED = (511, logbook.INFO, "rows of a table received")
     RESOURCE_ACCEPTED = (502, logbook.INFO, "resource accepted")
 
     @property
--- a/verbenagrade/metrics/gateway.py
+++ b/verbenagrade/metrics/gateway.py
@@ -21,6 +21,15 @@
         self.endpoints = self.gauge("endpoints", "Registered endpoints.")
         self.repeats = self.counter("repeats", "Calls retried on another endpoint.")
         self.store_away = self.counter("store_away", "Failed requests to the store.")
+        self.superseded_rows = self.counter(
+            "superseded_rows", "Received rows that were outdated on arrival, by table."
+        )
+        self.table_bytes = self.counter(
+            "table_bytes", "Bytes received for followed tables, by table."
+        )
+        self.table_transfer_s = self.histogram(
+            "table_transfer_s", "Transfer time of a response with rows, by table."
+        )
         self.first_answer_s = self.histogram(
             "first_answer_s", "Seconds until the first byte of a response, by kind."
         )
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -91,6 +91,13 @@
     body: bytes
 
 
+class Page(msgspec.Struct, frozen=True):
+    """A decoded response that contains rows, and its size in bytes."""
+
+    content: WireRows
+    received_bytes: int
+
+
 class StoreClient:
     """Sends requests to the store over one HTTP session."""
 
@@ -119,7 +126,7 @@
             "limit": ROWS_PER_PAGE,
         }
         page = await self._fetch_rows("rows-get", query, self.timeout_s)
-        return tuple(_decode_row(row) for row in page.rows)
+        return tuple(_decode_row(row) for row in page.content.rows)
 
     async def commit(
         self, checks: tuple[Check, ...], writes: tuple[Write, ...]
@@ -139,22 +146,30 @@
         present = tuple(_decode_row(row) for row in result.rows if row.ver)
         return CommitResult(committed, result.ver, present)
 
-    async def load(self, table: str) -> Changes:
+    async def load(self, table: str, on_response: Callable[[], None]) -> Changes:
         """Reads all rows of a table, page by page.
 
-        The result has the version of the first page. Rows that change while later
-        pages are read are reported again by ``follow`` after that version.
+        ``on_response`` is called when the headers of the first page arrive. The
+        result has the version of that page. Rows that change while later pages are
+        read are reported again by ``follow`` after that version.
         """
         query = {"table": table, "part": "", "limit": ROWS_PER_PAGE}
-        page = await self._fetch_rows("rows-get", query, self.timeout_s)
-        version = page.ver
-        rows = list(page.rows)
-        while page.truncated and page.rows:
-            last_key = page.rows[-1].key
+        page = await self._fetch_rows("rows-get", query, self.timeout_s, on_response)
+        version = page.content.ver
+        rows = list(page.content.rows)
+        received_bytes = page.received_bytes
+        while page.content.truncated and page.content.rows:
+            last_key = page.content.rows[-1].key
             query = {**query, "from": last_key}
             page = await self._fetch_rows("rows-get", query, self.timeout_s)
-            rows += [row for row in page.rows if row.key != last_key]
-        return Changes(version, tuple(_decode_row(row) for row in rows), complete=True)
+            rows += [row for row in page.content.rows if row.key != last_key]
+            received_bytes += page.received_bytes
+        return Changes(
+            version,
+            tuple(_decode_row(row) for row in rows),
+            complete=True,
+            received_bytes=received_bytes,
+        )
 
     async def follow(
         self, table: str, after: int, wait_s: float, on_response: Callable[[], None]
@@ -173,11 +188,14 @@
             "rows-feed", query, wait_s + self.timeout_s, on_response
         )
         # One response can contain several changes of a row; the last one is current.
-        newest = {row.path(): row for row in page.rows}.values()
+        rows = page.content.rows
+        newest = {row.path(): row for row in rows}.values()
         return Changes(
-            max(after, page.ver),
+            max(after, page.content.ver),
             tuple(_decode_row(row) for row in newest if not row.removed),
             tuple(row.path() for row in newest if row.removed),
+            received_bytes=page.received_bytes,
+            superseded=len(rows) - len(newest),
         )
 
     async def _read_row(self, path: str) -> Row | None:
@@ -189,7 +207,8 @@
             "limit": 1,
         }
         page = await self._fetch_rows("rows-get", query, self.timeout_s)
-        return next((_decode_row(row) for row in page.rows if row.path() == path), None)
+        found = (row for row in page.content.rows if row.path() == path)
+        return next(map(_decode_row, found), None)
 
     async def _fetch_rows(
         self,
@@ -197,7 +216,7 @@
         query: Query,
         read_timeout_s: float,
         on_response: Callable[[], None] | None = None,
-    ) -> WireRows:
+    ) -> Page:
         """Fetches rows.
 
         Raises ``HistoryLostError`` if the store no longer has the requested changes,
@@ -212,7 +231,7 @@
                 " read the whole table"
             )
         _check_status(operation, response)
-        return _decode_rows(response)
+        return Page(_decode_rows(response), len(response.body))
 
     async def _request(
         self,
--- a/verbenagrade/platform/tests/test_following.py
+++ b/verbenagrade/platform/tests/test_following.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import logbook
+
+from verbenagrade.events import Event
 from verbenagrade.platform.tests.conftest import API_KEY, configuration_document, route
 from verbenagrade.platform.tests.endpoint_standin import plain
 
@@ -165,3 +168,27 @@
     await testbed.start(configuration_document(1))
     await testbed.wait_until_ready()
     assert (await testbed.call("/safe/"))[0] == 200
+
+
+async def test_response_with_outdated_rows_is_logged_and_counted(testbed):
+    """On-call must see how much of a response was outdated on arrival."""
+    await testbed.add_endpoint(plain())
+    await testbed.start(configuration_document(1))
+    await testbed.wait_until_ready()
+    testbed.store.status = 503
+    await testbed.wait_until(lambda: testbed.core.configuration_freshness.unavailable)
+    testbed.store.put("op", "config", configuration_document(2))
+    testbed.store.put("op", "config", configuration_document(3))
+    with logbook.TestHandler().applicationbound() as logs:
+        testbed.store.status = 0
+        await testbed.wait_until(
+            lambda: testbed.core.route_index.configuration.version == 3
+        )
+    received = [
+        record.extra["fields"]
+        for record in logs.records
+        if record.extra["event"] is Event.TABLE_RECEIVED
+        and record.extra["fields"]["table"] == "op"
+    ]
+    assert [(fields["rows"], fields["superseded"]) for fields in received] == [(1, 1)]
+    assert testbed.core.metrics.superseded_rows.get({"table": "op"}) == 1
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -17,6 +17,7 @@
 from verbenagrade.coordination.ports import Changes, PlatformStore
 from verbenagrade.coordination.table_feed import (
     FollowedTable,
+    TableResponse,
     follow_table,
     log_task_failure,
 )
@@ -172,15 +173,21 @@
                 wait_s,
                 self._apply_configuration,
                 _no_action,
+                self._record_response,
             ),
             FollowedTable(
                 documents.endpoint_table,
                 wait_s,
                 self._apply_endpoints,
                 self._store_returned,
+                self._record_response,
             ),
             FollowedTable(
-                FLEET_TABLE, FLEET_LONG_POLL_S, self._apply_fleet, _no_action
+                FLEET_TABLE,
+                FLEET_LONG_POLL_S,
+                self._apply_fleet,
+                _no_action,
+                self._record_response,
             ),
         )
         freshness_trackers = (
@@ -217,6 +224,14 @@
         core.placement.forget(change.ended)
         core.directory_loaded = True
 
+    def _record_response(self, response: TableResponse) -> None:
+        """Counts the rows and bytes of a response of the store."""
+        labels = {"table": response.table}
+        metrics = self.core.metrics
+        metrics.table_transfer_s.observe(labels, response.transfer_s)
+        metrics.table_bytes.add(labels, response.received_bytes)
+        metrics.superseded_rows.add(labels, response.superseded)
+
     def _store_returned(self) -> None:
         """Gives expired entries time to reappear after an outage of the store."""
         self.core.directory.store_returned(self.clock())
