--- a/benchmarks/grants/__main__.py
+++ b/benchmarks/grants/__main__.py
@@ -6,7 +6,7 @@
 
 from benchmarks.grants.load import Fleet
 from benchmarks.grants.simulation import Scenario, simulate
-from benchmarks.grants.virtual_time import VirtualTimeLoop
+from verbenagrade.tests.virtual_time import VirtualTimeLoop
 
 __all__ = ["main"]
 
--- a/benchmarks/grants/tests/test_patterns.py
+++ b/benchmarks/grants/tests/test_patterns.py
@@ -6,7 +6,7 @@
 
 from benchmarks.grants.load import Fleet
 from benchmarks.grants.simulation import Scenario, simulate
-from benchmarks.grants.virtual_time import VirtualTimeLoop
+from verbenagrade.tests.virtual_time import VirtualTimeLoop
 
 FLEET = Fleet("90 VMs", 90, 4, calls_per_s=200.0, duration_s=10.0, prepaid_factor=6.0)
 
