Read the newest configuration instead of replaying outdated ones

Callers saw: calls with a revoked key were served 5 s after the revocation was acknowledged, on gateways with slow links, after an outage of the store; other callers were told 503 meanwhile because the link was full.

Cause: the feed of the store returns every state of a row since the version asked for, each in full. After an outage that is a series of large documents of which only the last counts, and on a link of 5 Mbit/s they take 3 s for three; meanwhile the next ones change. Where configurations change faster than the link carries them, the gateway falls behind without bound.

Ruled out: a document that is too long by itself (0.95 s), late notice of the store's return (the response began at once), a busy process (500 follows 511 within 0.03 s).

Now a follower declines a response that is larger than the whole table, or that begins at once after a slow transfer, and reads the table instead: that returns the newest state, whatever lies in between. What arrives late is then at most one document that was under way, and the one after it. This holds for every table that is followed.

--- a/verbenagrade/coordination/ports.py
+++ b/verbenagrade/coordination/ports.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 __all__ = [
+    "AcceptResponse",
     "Changes",
     "Check",
     "Clock",
@@ -22,6 +23,7 @@
 ]
 
 Clock = Callable[[], float]
+AcceptResponse = Callable[[int], bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +141,10 @@
     hold. ``load`` reads a whole table. ``follow`` takes a table, a version, a time
     in seconds and a callback. It waits up to that time for changes after the
     version, and raises ``HistoryLostError`` if the store no longer has these
-    changes. Both call the callback when a response begins to arrive. All functions
+    changes. Both call the callback when a response begins to arrive and while it
+    arrives, with its announced size or with what has arrived if that is more, in
+    bytes. If the callback returns false, the rest is not read and
+    ``ResponseDeclinedError`` is raised. All functions
     raise ``PlatformError`` if no response arrives. A transaction may then have been
     committed, or may still be committed later if its checks hold at that time.
     """
@@ -147,5 +152,5 @@
     read: Callable[[tuple[str, ...]], Awaitable[tuple[Row | None, ...]]]
     scan: Callable[[str], Awaitable[tuple[Row, ...]]]
     commit: Callable[[tuple[Check, ...], tuple[Write, ...]], Awaitable[CommitResult]]
-    load: Callable[[str, Callable[[], None]], Awaitable[Changes]]
-    follow: Callable[[str, int, float, Callable[[], None]], Awaitable[Changes]]
+    load: Callable[[str, AcceptResponse], Awaitable[Changes]]
+    follow: Callable[[str, int, float, AcceptResponse], Awaitable[Changes]]
--- a/verbenagrade/coordination/table_feed.py
+++ b/verbenagrade/coordination/table_feed.py
@@ -1,5 +1,9 @@
 """Keeps a local copy of a table up to date, also across outages of the store.
 
+Only the newest state of a row counts. A feed, however, returns each state in
+between, which takes long if rows are large and the link is slow. A response that
+replays such states is therefore not read; the whole table is read instead.
+
 Failed requests are retried with exponential backoff and random jitter.
 """
 
@@ -10,7 +14,12 @@
 
 from verbenagrade.coordination.ports import Changes, PlatformStore
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import HistoryLostError, PlatformError
+from verbenagrade.exceptions import (
+    HistoryLostError,
+    PlatformError,
+    ResponseDeclinedError,
+)
+from verbenagrade.state.replay import ReplayDetector
 
 __all__ = ["FollowedTable", "TableFreshness", "TableResponse", "follow_table"]
 
@@ -41,10 +50,18 @@
     def record_request(self, now: float) -> None:
         """Records that a request for changes is sent to the store."""
         self.requested_at = now
+        self.response_started_at = None
 
     def record_response_start(self, now: float) -> None:
-        """Records that a response begins to arrive."""
-        self.response_started_at = now
+        """Records that a response begins to arrive, at the first of several calls."""
+        if self.response_started_at is None:
+            self.response_started_at = now
+
+    def transfer_s(self, now: float) -> float:
+        """Returns how long the response has been arriving, in seconds."""
+        if self.response_started_at is None:
+            return 0.0
+        return now - self.response_started_at
 
     def record_response(self) -> None:
         """Records that a response was read in full."""
@@ -127,17 +144,27 @@
     jitter = random.Random(seed)
     backoff_s = MIN_BACKOFF_S
     version: int | None = None
+    replays = ReplayDetector()
 
-    def on_response() -> None:
+    def accept_table(_size_bytes: int) -> bool:
         """Records that a response begins to arrive."""
         freshness.record_response_start(clock())
+        return True
+
+    def accept_changes(size_bytes: int) -> bool:
+        """Records that a response begins to arrive; declines a replay."""
+        freshness.record_response_start(clock())
+        wait_s = freshness.response_started_at - freshness.requested_at
+        return not replays.is_replay(size_bytes, wait_s)
 
     async def next_changes() -> Changes:
         """Reads the table in full, or waits for changes since ``version``."""
         freshness.record_request(clock())
         if version is None:
-            return await table.load(followed.name, on_response)
-        return await table.follow(followed.name, version, followed.wait_s, on_response)
+            return await table.load(followed.name, accept_table)
+        return await table.follow(
+            followed.name, version, followed.wait_s, accept_changes
+        )
 
     while True:
         try:
@@ -146,11 +173,16 @@
             log_event(Event.HISTORY_LOST, table=followed.name, reason=str(error))
             version = None
             continue
+        except ResponseDeclinedError as error:
+            log_event(Event.REPLAY_DECLINED, table=followed.name, reason=str(error))
+            version = None
+            continue
         except PlatformError as error:
             _handle_failure(freshness, followed, error)
             await asyncio.sleep(backoff_s * jitter.uniform(0.5, 1.0))
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
             continue
+        _record_size(replays, changes, freshness.transfer_s(clock()))
         _handle_response(freshness, followed, changes, clock())
         backoff_s = MIN_BACKOFF_S
         version = changes.version
@@ -163,6 +195,14 @@
         log_event(Event.PROCESS_FAILED, reason=repr(task.exception()))
 
 
+def _record_size(replays: ReplayDetector, changes: Changes, transfer_s: float) -> None:
+    row_bytes = {row.key: len(row.value) for row in changes.rows}
+    if changes.complete:
+        replays.record_table(row_bytes, transfer_s)
+    elif row_bytes or changes.removed:
+        replays.record_changes(row_bytes, changes.removed, transfer_s)
+
+
 def _handle_failure(
     freshness: TableFreshness, followed: FollowedTable, error: Exception
 ) -> None:
@@ -192,17 +232,15 @@
     freshness: TableFreshness, followed: FollowedTable, changes: Changes, now: float
 ) -> None:
     """Logs and counts a response, before ``freshness`` forgets when it began."""
-    started_at = freshness.response_started_at
-    if started_at is None:
-        started_at = now
+    transfer_s = freshness.transfer_s(now)
     response = TableResponse(
         table=followed.name,
         version=changes.version,
         rows=len(changes.rows) + len(changes.removed),
         superseded=changes.superseded,
         received_bytes=changes.received_bytes,
-        wait_s=round(started_at - freshness.requested_at, 3),
-        transfer_s=round(now - started_at, 3),
+        wait_s=round(now - transfer_s - freshness.requested_at, 3),
+        transfer_s=round(transfer_s, 3),
         complete=changes.complete,
     )
     log_event(Event.TABLE_RECEIVED, **asdict(response))
--- a/verbenagrade/coordination/tests/test_table_feed.py
+++ b/verbenagrade/coordination/tests/test_table_feed.py
@@ -9,7 +9,7 @@
     TableFreshness,
     follow_table,
 )
-from verbenagrade.exceptions import PlatformError
+from verbenagrade.exceptions import PlatformError, ResponseDeclinedError
 from verbenagrade.tests.virtual_time import VirtualTimeLoop
 
 APPLY_BOUND_S = 4.0
@@ -20,7 +20,10 @@
 LINK_BYTES_PER_S = 580_000.0
 """What a link of 5 Mbit/s carries besides some other traffic."""
 
+DOCUMENT = b"x" * 420_000
 DOCUMENT_BYTES = 560_000
+"""Size of the document in a response, which encodes it in base64."""
+
 PAGE_BYTES = 1_000_000
 TIMEOUT_S = 1.0
 KEY = "op//config"
@@ -48,12 +51,12 @@
     def port(self) -> PlatformStore:
         return PlatformStore(None, None, None, self.load, self.follow)
 
-    async def load(self, _table, on_response):
+    async def load(self, _table, accept):
         await self._reach()
         newest = [c for c in self.commits if c.at <= self.now()][-1]
-        return await self._send([newest], newest.version, on_response, complete=True)
+        return await self._send([newest], newest.version, accept, complete=True)
 
-    async def follow(self, _table, after, wait_s, on_response):
+    async def follow(self, _table, after, wait_s, accept):
         await self._reach()
         if not self._committed(after):
             pending = [c.at for c in self.commits if c.version > after]
@@ -69,7 +72,7 @@
             page.append(commit)
             size += DOCUMENT_BYTES
         version = page[-1].version if page else after
-        return await self._send(page, version, on_response, complete=False)
+        return await self._send(page, version, accept, complete=False)
 
     async def _reach(self) -> None:
         if self._is_out():
@@ -77,11 +80,12 @@
             raise PlatformError("no response")
         await asyncio.sleep(0.04)
 
-    async def _send(self, page, version, on_response, complete):
-        on_response()
+    async def _send(self, page, version, accept, complete):
         size = len(page) * DOCUMENT_BYTES
+        if not accept(size):
+            raise ResponseDeclinedError("declined")
         await asyncio.sleep(size / LINK_BYTES_PER_S)
-        rows = tuple(Row(KEY, c.version, b"") for c in page[-1:])
+        rows = tuple(Row(KEY, c.version, DOCUMENT) for c in page[-1:])
         return Changes(version, rows, (), complete, size, max(0, len(page) - 1))
 
     def _committed(self, after):
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -71,6 +71,11 @@
     SETTINGS_RELOADED = (509, logbook.INFO, "settings reloaded")
     SETTINGS_REJECTED = (510, logbook.ERROR, "changed settings rejected")
     TABLE_RECEIVED = (511, logbook.INFO, "rows of a table received")
+    REPLAY_DECLINED = (
+        512,
+        logbook.INFO,
+        "feed replays outdated rows; reading the whole table",
+    )
     RESOURCE_ACCEPTED = (502, logbook.INFO, "resource accepted")
 
     @property
--- a/verbenagrade/exceptions.py
+++ b/verbenagrade/exceptions.py
@@ -13,6 +13,7 @@
     "PeerUnreachableError",
     "PlatformError",
     "PoisonRequestError",
+    "ResponseDeclinedError",
     "RevisionConflictError",
     "SettingsError",
     "UnavailableError",
@@ -72,6 +73,10 @@
     """The store no longer has the requested changes; read the whole table."""
 
 
+class ResponseDeclinedError(PlatformError):
+    """The caller declined a response because of its size; ask for less."""
+
+
 class FencedError(VerbenagradeError):
     """Another instance sealed this instance's journal; restart the process."""
 
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import base64
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import aiohttp
 import msgspec
 
 from verbenagrade.coordination.ports import (
+    AcceptResponse,
     Changes,
     Check,
     CommitResult,
@@ -15,7 +16,11 @@
     Row,
     Write,
 )
-from verbenagrade.exceptions import HistoryLostError, PlatformError
+from verbenagrade.exceptions import (
+    HistoryLostError,
+    PlatformError,
+    ResponseDeclinedError,
+)
 from verbenagrade.settings.gateway import GatewaySettings
 
 __all__ = ["store_port"]
@@ -146,15 +151,15 @@
         present = tuple(_decode_row(row) for row in result.rows if row.ver)
         return CommitResult(committed, result.ver, present)
 
-    async def load(self, table: str, on_response: Callable[[], None]) -> Changes:
+    async def load(self, table: str, accept: AcceptResponse) -> Changes:
         """Reads all rows of a table, page by page.
 
-        ``on_response`` is called when the headers of the first page arrive. The
-        result has the version of that page. Rows that change while later pages are
-        read are reported again by ``follow`` after that version.
+        ``accept`` is called while the first page arrives. The result has the version
+        of that page. Rows that change while later pages are read are reported again
+        by ``follow`` after that version.
         """
         query = {"table": table, "part": "", "limit": ROWS_PER_PAGE}
-        page = await self._fetch_rows("rows-get", query, self.timeout_s, on_response)
+        page = await self._fetch_rows("rows-get", query, self.timeout_s, accept)
         version = page.content.ver
         rows = list(page.content.rows)
         received_bytes = page.received_bytes
@@ -172,12 +177,12 @@
         )
 
     async def follow(
-        self, table: str, after: int, wait_s: float, on_response: Callable[[], None]
+        self, table: str, after: int, wait_s: float, accept: AcceptResponse
     ) -> Changes:
         """Waits up to ``wait_s`` seconds for changes of a table after a version.
 
-        ``on_response`` is called when the response headers arrive. Raises
-        ``HistoryLostError`` if the store no longer has the changes after ``after``.
+        Raises ``HistoryLostError`` if the store no longer has the changes after
+        ``after``, and ``ResponseDeclinedError`` if ``accept`` declines the response.
         """
         query = {
             "table": table,
@@ -185,7 +190,7 @@
             "wait_ms": int(wait_s * MS_PER_S),
         }
         page = await self._fetch_rows(
-            "rows-feed", query, wait_s + self.timeout_s, on_response
+            "rows-feed", query, wait_s + self.timeout_s, accept
         )
         # One response can contain several changes of a row; the last one is current.
         rows = page.content.rows
@@ -215,7 +220,7 @@
         operation: str,
         query: Query,
         read_timeout_s: float,
-        on_response: Callable[[], None] | None = None,
+        accept: AcceptResponse | None = None,
     ) -> Page:
         """Fetches rows.
 
@@ -223,7 +228,7 @@
         and ``PlatformError`` for any other failure.
         """
         response = await self._request(
-            "GET", operation, query, None, read_timeout_s, on_response
+            "GET", operation, query, None, read_timeout_s, accept
         )
         if response.status == HTTP_GONE:
             raise HistoryLostError(
@@ -240,7 +245,7 @@
         query: Query,
         body: bytes | None,
         read_timeout_s: float,
-        on_response: Callable[[], None] | None = None,
+        accept: AcceptResponse | None = None,
     ) -> WireResponse:
         """Sends one HTTP request and returns the response.
 
@@ -260,9 +265,8 @@
                     sock_read=read_timeout_s,
                 ),
             ) as response:
-                if on_response is not None:
-                    on_response()
-                return WireResponse(response.status, await response.read())
+                body = await _read_body(response, accept)
+                return WireResponse(response.status, body)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             reason = str(error) or type(error).__name__
             raise PlatformError(
@@ -280,6 +284,29 @@
     )
 
 
+async def _read_body(
+    response: aiohttp.ClientResponse, accept: AcceptResponse | None
+) -> bytes:
+    """Reads the body of a response while ``accept`` takes its size.
+
+    Raises ``ResponseDeclinedError`` as soon as it does not.
+    """
+    if accept is None:
+        return await response.read()
+    body = bytearray()
+    size = response.content_length or 0
+    declined = not accept(size)
+    while not declined and (chunk := await response.content.readany()):
+        body += chunk
+        size = max(size, len(body))
+        declined = not accept(size)
+    if declined:
+        raise ResponseDeclinedError(
+            f"response of {size} bytes declined; read the whole table"
+        )
+    return bytes(body)
+
+
 def _encode_transaction(
     checks: tuple[Check, ...], writes: tuple[Write, ...]
 ) -> WireTransaction:
