Count a table as stale while a read of all of it is pending

Callers could see: 404 or 401, a final refusal, for a route or key that the newest configuration has, while a gateway reads the whole table because the store has lost the history or the feed would replay outdated rows.

Cause: a request that is pending for 0.3 s was taken to show that nothing has changed. That holds for a feed, which responds at once if there is a change; a read of the whole table that is slow shows nothing.

The new test fails without the change (staleness 0.0 instead of 12.0).

--- a/verbenagrade/coordination/table_feed.py
+++ b/verbenagrade/coordination/table_feed.py
@@ -46,10 +46,12 @@
         self.requested_at = now
         self.response_started_at: float | None = None
         self.unavailable = False
+        self.reading_table = False
 
-    def record_request(self, now: float) -> None:
-        """Records that a request for changes is sent to the store."""
+    def record_request(self, now: float, reading_table: bool) -> None:
+        """Records that a request for changes, or for the whole table, is sent."""
         self.requested_at = now
+        self.reading_table = reading_table
         self.response_started_at = None
 
     def record_response_start(self, now: float) -> None:
@@ -71,6 +73,7 @@
             else self.response_started_at
         )
         self.response_started_at = None
+        self.reading_table = False
 
     def record_failure(self) -> None:
         """Records that the store did not respond."""
@@ -81,16 +84,21 @@
         """Returns for how many seconds a change may have been missed.
 
         The result is 0 while a request for changes is pending for longer than
-        ``NO_CHANGE_AFTER_S``, because the store would have returned any change.
+        ``NO_CHANGE_AFTER_S``, because the store would have returned any change. A
+        pending request for the whole table shows nothing of this kind.
 
         >>> freshness = TableFreshness(now=0.0)
         >>> freshness.record_response_start(1.0)
         >>> freshness.record_response()
-        >>> freshness.record_request(4.0)
+        >>> freshness.record_request(4.0, reading_table=False)
         >>> freshness.staleness_s(4.25), freshness.staleness_s(4.5)
         (3.25, 0.0)
         """
-        may_miss_changes = self.unavailable or self.response_started_at is not None
+        may_miss_changes = (
+            self.unavailable
+            or self.reading_table
+            or self.response_started_at is not None
+        )
         if may_miss_changes or now - self.requested_at < NO_CHANGE_AFTER_S:
             return now - self.current_at
         return 0.0
@@ -159,7 +167,7 @@
 
     async def next_changes() -> Changes:
         """Reads the table in full, or waits for changes since ``version``."""
-        freshness.record_request(clock())
+        freshness.record_request(clock(), reading_table=version is None)
         if version is None:
             return await table.load(followed.name, accept_table)
         return await table.follow(
--- a/verbenagrade/coordination/tests/test_table_feed.py
+++ b/verbenagrade/coordination/tests/test_table_feed.py
@@ -150,3 +150,15 @@
 def test_configuration_is_in_force_in_time_if_changes_outpace_the_link():
     commits = [Commit(0.7 * n, n + 1) for n in range(40)]
     assert late_versions(SlowLinkStore(commits), until=40.0) == []
+
+
+# Guards against a false "unknown route" while a slow read of the whole table is
+# pending: unlike a pending feed, it does not show that nothing has changed.
+def test_table_counts_as_stale_while_a_read_of_all_of_it_is_pending():
+    freshness = TableFreshness(now=0.0)
+    freshness.record_request(10.0, reading_table=True)
+    assert freshness.staleness_s(12.0) == 12.0
+    freshness.record_response_start(12.5)
+    freshness.record_response()
+    freshness.record_request(13.0, reading_table=False)
+    assert freshness.staleness_s(14.0) == 0.0
