Refuse with 503, not 402, while a raised budget may be arriving

Callers could see: a final refusal, "the prepaid budget doesn't cover the call", from a gateway that knows its configuration to be stale, although the operator had topped the budget up.

Cause: a route or key that is unknown under a stale configuration is refused with 503; the prepaid amount, which comes from the same configuration, was taken as current. Overspend is not touched: the call is refused all the same, as one that has not run.

The new test fails without the change (402 instead of 503). The stand-in of the store can be slow for one table only.

--- a/verbenagrade/platform/tests/store_standin.py
+++ b/verbenagrade/platform/tests/store_standin.py
@@ -17,7 +17,8 @@
     If ``status`` is not 0, every request gets this HTTP status. The responses to the
     next ``responses_to_lose`` transactions are lost after the commit. If
     ``unresponsive`` is set, no request gets a response. ``transfer_s`` is the time for
-    sending the body of a response that contains rows, in seconds.
+    sending the body of a response that contains rows, in seconds; if ``slow_table``
+    is set, only of that table.
     """
 
     def __init__(self) -> None:
@@ -29,6 +30,7 @@
         self.unresponsive = False
         self.responses_to_lose = 0
         self.transfer_s = 0.0
+        self.slow_table = ""
         self.request_count = 0
         self.changed = asyncio.Event()
         self.runner: web.AppRunner | None = None
@@ -125,7 +127,7 @@
         rows = [self._row(name) for name in names[:limit]]
         truncated = len(names) > limit
         result = {"rows": rows, "truncated": truncated, "ver": self.version}
-        if self.transfer_s and rows:
+        if self._is_slow(query["table"]) and rows:
             return await self._respond_slowly(request, result)
         return _json_response(result)
 
@@ -141,10 +143,13 @@
         except TimeoutError:
             pass
         result = {"rows": self._changes_since(table, after), "ver": self.version}
-        if self.transfer_s and result["rows"]:
+        if self._is_slow(table) and result["rows"]:
             return await self._respond_slowly(request, result)
         return _json_response(result)
 
+    def _is_slow(self, table) -> bool:
+        return self.transfer_s > 0 and self.slow_table in ("", table)
+
     async def _respond_slowly(self, request, result):
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         await response.prepare(request)
--- a/verbenagrade/platform/tests/test_prepaid.py
+++ b/verbenagrade/platform/tests/test_prepaid.py
@@ -12,7 +12,7 @@
     PlatformError,
     UnavailableError,
 )
-from verbenagrade.platform.tests.conftest import configuration_document
+from verbenagrade.platform.tests.conftest import API_KEY, configuration_document
 from verbenagrade.platform.tests.endpoint_standin import plain, reset, stream
 from verbenagrade.settings.gateway import TuningSettings
 from verbenagrade.state.shards import SHARD_COUNT
@@ -300,6 +300,26 @@
     assert len(endpoint.requests) == 1
 
 
+# Guards against a final "budget exhausted" while the configuration that raises the
+# budget is still arriving.
+async def test_call_beyond_the_budget_gets_503_while_a_top_up_arrives(testbed):
+    await testbed.add_endpoint(plain())
+    await testbed.start(configuration_document(1))
+    await testbed.wait_until_ready()
+    await asyncio.sleep(0.5)
+    beyond = {"Token_Count": "15000,10"}
+    assert (await testbed.call("/safe/", **beyond))[0] == 402
+    testbed.store.transfer_s, testbed.store.slow_table = 1.8, "op"
+    raised = [{"name": "hotel", "api_keys": [API_KEY], "prepaid": 100_000}]
+    testbed.store.put("op", "config", configuration_document(2, tenants=raised))
+    await asyncio.sleep(1.3)
+    assert (await testbed.call("/safe/", **beyond))[0] == 503
+    await testbed.wait_until(
+        lambda: testbed.core.route_index.configuration.version == 2
+    )
+    assert (await testbed.call("/safe/", **beyond))[0] == 200
+
+
 async def test_call_that_did_not_reach_an_endpoint_costs_nothing(testbed):
     endpoint = await testbed.add_endpoint(plain())
     await testbed.start(configuration_document())
--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -20,7 +20,8 @@
 
 STALE_CONFIGURATION_S = 1.0
 """Time without contact to the store, in seconds, after which the configuration
-counts as stale: an unknown route or key may have been added in the meantime."""
+counts as stale: an unknown route or key may have been added in the meantime, or a
+budget raised."""
 
 IDLE_PROCESS_MEMORY_MB = 80
 MEMORY_PER_CALL_MB = 0.2
@@ -145,7 +146,7 @@
     route = index.find(head.host, head.path)
     if route is not None:
         return route
-    if core.configuration_freshness.staleness_s(core.clock()) > STALE_CONFIGURATION_S:
+    if _is_configuration_stale(core):
         raise RefusedError(
             refusals.NO_CONFIGURATION, "unknown route, and the configuration is stale"
         )
@@ -157,10 +158,7 @@
 ) -> WorkspaceEntry | None:
     workspace = index.workspaces.get(head.key)
     if workspace is None and index.configuration.requires_key and not route.public:
-        if (
-            core.configuration_freshness.staleness_s(core.clock())
-            > STALE_CONFIGURATION_S
-        ):
+        if _is_configuration_stale(core):
             raise RefusedError(
                 refusals.NO_CONFIGURATION,
                 "unknown API key, and the configuration is stale",
@@ -176,6 +174,12 @@
     return workspace
 
 
+def _is_configuration_stale(core: GatewayCore) -> bool:
+    """Returns whether a newer configuration may be missing here."""
+    staleness_s = core.configuration_freshness.staleness_s(core.clock())
+    return staleness_s > STALE_CONFIGURATION_S
+
+
 def _call_shape(
     index: RouteIndex, route: RouteEntry, service: str, head: CallHead
 ) -> CallShape:
@@ -229,6 +233,10 @@
     try:
         await core.allowance_manager.reserve(workspace, token_bound)
     except BudgetExhaustedError as error:
+        if _is_configuration_stale(core):
+            raise RefusedError(
+                refusals.NO_CONFIGURATION, f"{error}, and the configuration is stale"
+            ) from error
         raise RefusedError(refusals.BUDGET_EXHAUSTED, str(error)) from error
     except UnavailableError as error:
         raise RefusedError(refusals.BUDGET_UNAVAILABLE, str(error)) from error
