Ask without waiting after an outage, so that its end is noticed

Cause: after a failed request the next one was a long poll as ever. If nothing has changed, the store holds it open, and the gateway keeps taking itself to be cut off. Now the first request after a failure doesn't wait.

--- a/verbenagrade/coordination/table_feed.py
+++ b/verbenagrade/coordination/table_feed.py
@@ -170,9 +170,10 @@
         freshness.record_request(clock(), reading_table=version is None)
         if version is None:
             return await table.load(followed.name, accept_table)
-        return await table.follow(
-            followed.name, version, followed.wait_s, accept_changes
-        )
+        # A long poll that nothing ends would hide for its whole length that the
+        # store responds again.
+        wait_s = 0.0 if freshness.unavailable else followed.wait_s
+        return await table.follow(followed.name, version, wait_s, accept_changes)
 
     while True:
         try:
--- a/verbenagrade/coordination/tests/test_table_feed.py
+++ b/verbenagrade/coordination/tests/test_table_feed.py
@@ -5,6 +5,7 @@
 
 from verbenagrade.coordination.ports import Changes, PlatformStore, Row
 from verbenagrade.coordination.table_feed import (
+    MAX_BACKOFF_S,
     FollowedTable,
     TableFreshness,
     follow_table,
@@ -99,16 +100,30 @@
         return asyncio.get_running_loop().time()
 
 
-def applied_versions(store: SlowLinkStore, until: float) -> list[Commit]:
-    """Returns the versions that a gateway applied, with the times of applying."""
+@dataclass(frozen=True, slots=True)
+class Followed:
+    """What a gateway did with a table: versions applied, and times of reconnection."""
+
+    applied: list[Commit]
+    reconnected_at: list[float]
+
+
+def follow(store: SlowLinkStore, until: float, wait_s: float = 2.5) -> Followed:
+    """Follows the table of a store up to a time in seconds."""
     loop = VirtualTimeLoop()
-    applied: list[Commit] = []
+    result = Followed([], [])
 
     def apply(changes: Changes) -> None:
-        applied.extend(Commit(loop.time(), row.version) for row in changes.rows)
+        result.applied.extend(Commit(loop.time(), row.version) for row in changes.rows)
 
     async def run() -> None:
-        followed = FollowedTable("op", 2.5, apply, lambda: None, lambda _response: None)
+        followed = FollowedTable(
+            "op",
+            wait_s,
+            apply,
+            lambda: result.reconnected_at.append(loop.time()),
+            lambda _response: None,
+        )
         task = asyncio.ensure_future(
             follow_table(
                 store.port(), followed, TableFreshness(loop.time()), loop.time, seed=1
@@ -121,12 +136,12 @@
         loop.run_until_complete(run())
     finally:
         loop.close()
-    return applied
+    return result
 
 
 def late_versions(store: SlowLinkStore, until: float) -> list[int]:
     """Returns the versions that were not in force in time."""
-    applied = applied_versions(store, until)
+    applied = follow(store, until).applied
     late = []
     for commit in store.commits:
         due = max(commit.at + APPLY_BOUND_S, store.outage[1] + STABLE_WINDOW_S)
@@ -152,6 +167,14 @@
     assert late_versions(SlowLinkStore(commits), until=40.0) == []
 
 
+# Guards against a gateway that takes itself to be cut off for the whole of a long
+# poll after the store has returned, and refuses unknown keys with 503 meanwhile.
+def test_end_of_an_outage_is_noticed_although_nothing_has_changed():
+    store = SlowLinkStore([Commit(0.0, 1)], outage=(6.0, 15.0))
+    (reconnected_at,) = follow(store, until=40.0, wait_s=8.0).reconnected_at
+    assert reconnected_at <= 15.0 + TIMEOUT_S + MAX_BACKOFF_S + 0.1
+
+
 # Guards against a false "unknown route" while a slow read of the whole table is
 # pending: unlike a pending feed, it does not show that nothing has changed.
 def test_table_counts_as_stale_while_a_read_of_all_of_it_is_pending():
