End connections to the store that went silent

Callers could see: calls that crash endpoints still sent on by a gateway up to 9 s after other gateways had reported them, and configurations up to 3.5 s late, after something between gateway and store had lost track of an open connection.

Cause: a long poll on such a connection looks like a table that does not change, until its time is over: 8 s and 1 s for the table fleet, 2.5 s and 1 s for the others. TCP keep-alive and a limit on unacknowledged data end such a connection within 3 s, without a call to the store.

The new test fails without the change (no keep-alive). That the bound holds on a connection that is really cut is not tested here: on a loopback interface the kernel acknowledges every probe.

--- a/verbenagrade/platform/tests/test_following.py
+++ b/verbenagrade/platform/tests/test_following.py
@@ -1,6 +1,7 @@
 """Tests of a gateway while configuration, endpoints and the store change."""
 
 import asyncio
+import socket
 
 import logbook
 
@@ -192,3 +193,27 @@
     ]
     assert [(fields["rows"], fields["superseded"]) for fields in received] == [(1, 1)]
     assert testbed.core.metrics.superseded_rows.get({"table": "op"}) == 1
+
+
+# Guards against a long poll on a connection that silently went dead, which looks like
+# a table that does not change, for as long as the poll lasts.
+async def test_connections_to_the_store_end_within_4_s_of_going_silent(testbed):
+    await testbed.start(configuration_document(1))
+    testbed.store.transfer_s = 0.5
+    async with testbed.gateway.store_session.get(
+        f"http://{testbed.store.address}/rows-feed",
+        params={"table": "op", "after_revision": 0, "wait_ms": 100},
+    ) as response:
+        sock = response.connection.transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        idle, interval, probes, unacknowledged_ms = (
+            sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_KEEPCNT,
+                socket.TCP_USER_TIMEOUT,
+            )
+        )
+    assert 0 < idle + interval * probes < 4
+    assert 0 < unacknowledged_ms < 4000
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -30,6 +30,7 @@
 from verbenagrade.state.placement import PlacementTable, VmLocation
 from verbenagrade.transport.gateway.call_handler import handle_call
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.store_connections import store_session
 from verbenagrade.transport.gateway.upstream import endpoint_session
 
 __all__ = ["Gateway", "PlatformAdapter"]
@@ -85,7 +86,7 @@
         seed = time.time_ns()
         self.seed = seed
         incarnation = f"{settings.vm}-{seed:x}"
-        self.store_session = aiohttp.ClientSession()
+        self.store_session = store_session()
         self.endpoint_session = endpoint_session()
         self.table = adapter.store(self.store_session, settings)
         bounds = settings.bounds
