Give up a slow attempt only if another endpoint takes over

Cause: an attempt that may be repeated was ended by its timeout, and only then was it decided whether another one is permitted and possible. If the retry budget was used up, no other endpoint was left, or it took no connection, the answer that was still on its way was cut.

Evidence: the five new tests that failed before (a slow stream without another endpoint, beside an unreachable one, without retry budget; a slow first response beside an unreachable endpoint and without retry budget). Ruled out: a reset or an endpoint's own end, since the endpoints in the tests go on.

Now the timeout of an attempt that may be repeated makes the gateway look for a successor: the retry is taken, and an endpoint has accepted a connection, before the attempt ends. Else it waits on, to the deadline. A stalled stream is still resumed elsewhere, and the first endpoint still ends before the second begins.

--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -36,6 +36,7 @@
     REPEAT_DENIED = (215, logbook.INFO, "retry denied by the retry budget")
     CALL_CONVICTED = (216, logbook.WARNING, "call refused because it crashes endpoints")
     CRASH_NOT_REPORTED = (217, logbook.WARNING, "crash not reported to other VMs")
+    CALL_KEPT = (219, logbook.INFO, "call stays at its slow endpoint")
     CALL_FAILED = (218, logbook.ERROR, "call failed unexpectedly")
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
--- a/verbenagrade/platform/tests/conftest.py
+++ b/verbenagrade/platform/tests/conftest.py
@@ -84,7 +84,7 @@
         self.store.put("servers", endpoint.name, endpoint.entry("pool", **entry))
         return endpoint
 
-    async def start(self, document=None, tuning=None) -> None:
+    async def start(self, document=None, tuning=None, bounds=BOUNDS) -> None:
         if document is not None:
             self.store.put("op", "config", document)
         settings = GatewaySettings(
@@ -93,7 +93,7 @@
             regions={"muscat-a": "muscat"},
             listen=ListenSettings("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1", 0),
             store=StoreSettings(self.store.address),
-            bounds=BOUNDS,
+            bounds=bounds,
             memory_mb=150,
             tuning=tuning or TuningSettings(feed_wait_s=0.3, store_timeout_s=0.4),
         )
--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -120,6 +120,16 @@
     return handle
 
 
+def delayed(seconds, handler):
+    """Waits before it handles a request as ``handler`` does."""
+
+    async def handle(request, writer):
+        await asyncio.sleep(seconds)
+        await handler(request, writer)
+
+    return handle
+
+
 def silent():
     """Sends nothing until the connection is closed or 60 s have passed."""
 
@@ -158,11 +168,12 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
-def stream(last, first=1, cut=None, half=False, pause=0.0, text=encode_event):
+def stream(last, first=1, cut=None, half=False, pause=0.0, text=encode_event, stall=0):
     """Sends the events ``first`` to ``last``, with ``pause`` seconds after each one.
 
     A request with ``Last-Event-Id`` gets the events after that one. With ``cut``, the
-    connection is closed after that event, or with ``half`` within the next one.
+    connection is closed after that event, or with ``half`` within the next one. With
+    ``stall``, nothing more is sent after that event.
     """
 
     async def handle(request, writer):
@@ -177,7 +188,7 @@
                 return
             _write_chunk(writer, text(number))
             await writer.drain()
-            await asyncio.sleep(pause)
+            await asyncio.sleep(60 if number == stall else pause)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
--- /dev/null
+++ b/verbenagrade/platform/tests/test_slow_endpoints.py
@@ -0,0 +1,88 @@
+"""Tests of calls whose endpoint is slow, while no other endpoint can serve them."""
+
+from dataclasses import replace
+
+from verbenagrade.platform.tests.conftest import BOUNDS, configuration_document
+from verbenagrade.platform.tests.endpoint_standin import (
+    delayed,
+    encode_event,
+    plain,
+    stream,
+)
+from verbenagrade.settings.gateway import BoundSettings
+
+MAX_CALLS_UNTIL_BOTH_ARE_CHOSEN = 40
+WHOLE_STREAM = b"".join(encode_event(n) for n in range(1, 4))
+
+
+def retries_without_budget() -> BoundSettings:
+    return replace(BOUNDS, retry_ratio=0.0, retry_slack=0.0)
+
+
+async def start_beside_dead_endpoint(testbed, *handlers) -> None:
+    """Starts a gateway with one endpoint, and one that accepts no connections."""
+    await testbed.add_endpoint(*handlers)
+    dead = await testbed.add_endpoint()
+    await dead.stop()
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    testbed.core.placement.unreachable = lambda entry, now: None
+
+
+# Guards against a stream that is cut because it is slow, although no other endpoint
+# can continue it.
+async def test_slow_stream_without_another_endpoint_is_delivered_whole(testbed):
+    await testbed.add_endpoint(stream(3, pause=0.8))
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    status, body, _ = await testbed.call("/resume/")
+    assert (status, body) == (200, WHOLE_STREAM)
+
+
+# Guards against the same if the only other endpoint accepts no connection.
+async def test_slow_stream_beside_an_unreachable_endpoint_is_delivered_whole(testbed):
+    await start_beside_dead_endpoint(testbed, stream(3, pause=0.8))
+    for _ in range(3):
+        status, body, _ = await testbed.call("/resume/")
+        assert (status, body) == (200, WHOLE_STREAM)
+
+
+# Guards against the same if the retry budget does not allow a resumption.
+async def test_slow_stream_without_retry_budget_is_delivered_whole(testbed):
+    for _ in range(2):
+        await testbed.add_endpoint(stream(3, pause=0.8))
+    await testbed.start(configuration_document(), bounds=retries_without_budget())
+    await testbed.wait_until_ready()
+    status, body, _ = await testbed.call("/resume/")
+    assert (status, body) == (200, WHOLE_STREAM)
+
+
+# Guards against a call that fails because its response begins late, although no other
+# endpoint can serve it.
+async def test_slow_response_beside_an_unreachable_endpoint_is_delivered(testbed):
+    await start_beside_dead_endpoint(testbed, delayed(1.0, plain(b"ran")))
+    for _ in range(3):
+        assert (await testbed.call("/safe/"))[:2] == (200, b"ran")
+
+
+# Guards against the same if the retry budget does not allow another attempt.
+async def test_slow_response_without_retry_budget_is_delivered(testbed):
+    for _ in range(2):
+        await testbed.add_endpoint(delayed(1.0, plain(b"ran")))
+    await testbed.start(configuration_document(), bounds=retries_without_budget())
+    await testbed.wait_until_ready()
+    assert (await testbed.call("/safe/"))[:2] == (200, b"ran")
+
+
+async def test_stalled_stream_is_resumed_at_an_endpoint_that_is_reachable(testbed):
+    stalled = await testbed.add_endpoint(stream(3, stall=2))
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    other = await testbed.add_endpoint(stream(3))
+    await testbed.wait_until_ready()
+    for _ in range(MAX_CALLS_UNTIL_BOTH_ARE_CHOSEN):
+        assert (await testbed.call("/resume/"))[:2] == (200, WHOLE_STREAM)
+        if stalled.requests:
+            break
+    resumed = [r for r in other.requests if r.headers.get("last-event-id") == "2"]
+    assert len(resumed) == len(stalled.requests) > 0
--- a/verbenagrade/state/retry_budget.py
+++ b/verbenagrade/state/retry_budget.py
@@ -56,12 +56,16 @@
         >>> [budget.take_retry(policy, 8, 1.0) for _ in range(2)]
         [True, False]
         """
+        allowed = self.has_retry(policy, vms, now)
+        if allowed:
+            self.retries.append(now)
+        return allowed
+
+    def has_retry(self, policy: RetryPolicy, vms: int, now: float) -> bool:
+        """Returns whether a retry is left, without taking it."""
         window_start = now - policy.window_s
         for sends in (self.first_sends, self.retries):
             while sends and sends[0] < window_start:
                 sends.popleft()
         slack = policy.slack * SLACK_FRACTION / max(1, vms)
-        if len(self.retries) + 1 > policy.ratio * len(self.first_sends) + slack:
-            return False
-        self.retries.append(now)
-        return True
+        return len(self.retries) + 1 <= policy.ratio * len(self.first_sends) + slack
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -7,6 +7,7 @@
 from verbenagrade.state.calls import CallHead, CallKind
 from verbenagrade.state.endpoint_stats import CallShape
 from verbenagrade.state.outcome import RequestOutcome
+from verbenagrade.state.placement import Placement
 from verbenagrade.state.routes import RouteEntry, WorkspaceEntry
 
 __all__ = ["Call", "CallProgress", "CallResult"]
@@ -59,8 +60,10 @@
     """The progress of a call over all endpoints that it was sent to.
 
     ``placements`` counts the endpoints chosen. ``possible_runs`` counts the
-    attempts after which the call may have run. Times are in seconds, on the
-    clock of the process.
+    attempts after which the call may have run. ``successor`` is the endpoint that
+    takes over next, for which a retry was taken. ``kept_logged`` is set once it was
+    logged that the call stays at a slow endpoint. Times are in seconds, on the clock
+    of the process.
     """
 
     def __init__(self, resume_after: str) -> None:
@@ -69,6 +72,8 @@
         self.placements = 0
         self.possible_runs = 0
         self.excluded_endpoints: set[str] = set()
+        self.successor: Placement | None = None
+        self.kept_logged = False
         self.last_event_id = resume_after
         self.delivered_events = 0
         self.granted_at = 0.0
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -79,12 +79,19 @@
 
     def take_retry(self, service: str, now: float) -> bool:
         """Takes one retry from a service's budget; returns false if none is left."""
+        budget = self.retry_budget(service)
+        return budget.take_retry(self._retry_policy(), len(self.fleet.vms), now)
+
+    def has_retry(self, service: str, now: float) -> bool:
+        """Returns whether a service's budget has a retry left."""
+        budget = self.retry_budget(service)
+        return budget.has_retry(self._retry_policy(), len(self.fleet.vms), now)
+
+    def _retry_policy(self) -> RetryPolicy:
         bounds = self.settings.bounds
-        policy = RetryPolicy(
+        return RetryPolicy(
             bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
         )
-        budget = self.retry_budget(service)
-        return budget.take_retry(policy, len(self.fleet.vms), now)
 
     def endpoints(self, service: str) -> tuple[EndpointEntry, ...]:
         """Returns the endpoints of a service that accept new calls."""
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -6,9 +6,10 @@
 
 from verbenagrade.exceptions import UpstreamFailedError
 from verbenagrade.protocol.event_stream import EventSplitter
-from verbenagrade.state.retries import Failure, is_retry_allowed, next_event_timeout_s
+from verbenagrade.state.retries import next_event_timeout_s
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.handover import may_be_handed_over
 from verbenagrade.transport.gateway.upstream import UpstreamResponse
 
 __all__ = ["ResponseWriter", "deliver_plain", "deliver_stream"]
@@ -91,18 +92,14 @@
     ``UpstreamFailedError`` or ``UpstreamTimeoutError`` if the stream ended early.
     """
     splitter = EventSplitter()
-    may_resume = is_retry_allowed(
-        call.kind,
-        call.route.max_runs,
-        progress.possible_runs + 1,
-        progress.placements,
-        Failure.SILENT,
-    )
+    may_resume = may_be_handed_over(call, progress)
     while True:
-        timeout_s = max(0.0, call.deadline - core.clock())
+        remaining_s = max(0.0, call.deadline - core.clock())
         if may_resume:
-            timeout_s = next_event_timeout_s(call.route.target_gap_s, timeout_s)
-        data = await upstream.read_chunk(timeout_s)
+            patience_s = next_event_timeout_s(call.route.target_gap_s, remaining_s)
+            data = await upstream.read_or_hand_over(patience_s)
+        else:
+            data = await upstream.read_chunk(remaining_s)
         if not data:
             break
         events = splitter.feed(data)
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -26,6 +26,7 @@
     deliver_plain,
     deliver_stream,
 )
+from verbenagrade.transport.gateway.handover import may_be_handed_over
 from verbenagrade.transport.gateway.upstream import UpstreamResponse, open_upstream
 
 __all__ = ["ForwardResult", "forward"]
@@ -83,11 +84,13 @@
 def _choose_endpoint(
     core: GatewayCore, call: Call, progress: CallProgress
 ) -> EndpointEntry | None:
-    now = core.clock()
-    entries = core.endpoints(call.service)
-    chosen = core.placement.choose(
-        entries, progress.excluded_endpoints, call.shape, now
+    chosen = progress.successor or core.placement.choose(
+        core.endpoints(call.service),
+        progress.excluded_endpoints,
+        call.shape,
+        core.clock(),
     )
+    progress.successor = None
     if chosen is None:
         return None
     progress.placements += 1
@@ -116,7 +119,7 @@
 
     Raises ``SendFailedError`` if there is no complete response.
     """
-    timeout_s = _first_response_timeout_s(core, call, progress, entry)
+    patience_s = _first_response_patience_s(core, call, progress, entry)
     core.placement.sent(entry, call.head.call_id, call.shape, core.clock())
     if progress.placements == 1:
         core.retry_budget(call.service).record_first_send(core.clock())
@@ -124,7 +127,7 @@
         progress.outcome.advance("send")
     failed = True
     try:
-        async with open_upstream(core, call, progress, entry, timeout_s) as upstream:
+        async with open_upstream(core, call, progress, entry, patience_s) as upstream:
             response = await _deliver(core, call, progress, writer, entry, upstream)
             failed = response.status >= MIN_SERVER_ERROR_STATUS
             return response
@@ -180,18 +183,12 @@
     return await deliver_plain(core, call, writer, upstream, on_data)
 
 
-def _first_response_timeout_s(
+def _first_response_patience_s(
     core: GatewayCore, call: Call, progress: CallProgress, entry: EndpointEntry
 ) -> float:
+    """Returns the time after which another endpoint may take over, in seconds."""
     remaining_s = max(0.0, call.deadline - core.clock())
-    retry_allowed = is_retry_allowed(
-        call.kind,
-        call.route.max_runs,
-        progress.possible_runs + 1,
-        progress.placements,
-        Failure.SILENT,
-    )
-    if not retry_allowed:
+    if not may_be_handed_over(call, progress):
         return remaining_s
     expected_s = core.placement.expected_first_response_s(entry, call.shape)
     return first_response_timeout_s(
@@ -222,7 +219,7 @@
         progress.placements,
         failure,
     )
-    if allowed and failure is not Failure.UNREACHABLE:
+    if allowed and failure is not Failure.UNREACHABLE and not progress.successor:
         allowed = core.take_retry(call.service, now)
         if not allowed:
             log_event(Event.REPEAT_DENIED, call=call.head.call_id, service=call.service)
--- /dev/null
+++ b/verbenagrade/transport/gateway/handover.py
@@ -0,0 +1,90 @@
+"""Decides whether another endpoint takes over a call whose endpoint is slow.
+
+An attempt that may still succeed is given up only if its successor is certain: the
+call may run again, the retry budget has a retry for it, and an endpoint that is left
+accepts a connection. Otherwise the gateway goes on waiting, up to the deadline.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from verbenagrade.events import Event, log_event
+from verbenagrade.state.directory import EndpointEntry
+from verbenagrade.state.placement import Placement
+from verbenagrade.state.retries import Failure, is_retry_allowed
+from verbenagrade.transport.gateway.calls import Call, CallProgress
+from verbenagrade.transport.gateway.core import GatewayCore
+
+__all__ = ["hand_over", "may_be_handed_over"]
+
+
+def may_be_handed_over(call: Call, progress: CallProgress) -> bool:
+    """Returns whether the call may run at another endpoint after the present one."""
+    return is_retry_allowed(
+        call.kind,
+        call.route.max_runs,
+        progress.possible_runs + 1,
+        progress.placements,
+        Failure.SILENT,
+    )
+
+
+async def hand_over(
+    core: GatewayCore,
+    call: Call,
+    progress: CallProgress,
+    entry: EndpointEntry,
+    has_responded: Callable[[], bool],
+) -> bool:
+    """Takes a retry and sets ``progress.successor``, or returns false.
+
+    The result is also false if ``entry`` has responded in the meantime.
+    """
+    successor = await _find_successor(core, call, progress, entry)
+    if has_responded():
+        return False
+    if successor is None or not core.take_retry(call.service, core.clock()):
+        _log_kept_call(call, progress, entry)
+        return False
+    progress.successor = successor
+    return True
+
+
+async def _find_successor(
+    core: GatewayCore, call: Call, progress: CallProgress, entry: EndpointEntry
+) -> Placement | None:
+    """Returns an endpoint that accepted a connection, which was closed again."""
+    now = core.clock()
+    if not may_be_handed_over(call, progress) or not core.has_retry(call.service, now):
+        return None
+    excluded = {*progress.excluded_endpoints, entry.name}
+    entries = core.endpoints(call.service)
+    successor = core.placement.choose(entries, excluded, call.shape, now)
+    timeout_s = min(core.settings.tuning.connect_s, call.deadline - now)
+    if successor is None or not await _accepts_connection(
+        core, successor.endpoint, timeout_s
+    ):
+        return None
+    return successor
+
+
+async def _accepts_connection(
+    core: GatewayCore, entry: EndpointEntry, timeout_s: float
+) -> bool:
+    host, _, port = entry.address.rpartition(":")
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError) as error:
+        core.placement.unreachable(entry, core.clock())
+        log_event(Event.ENDPOINT_UNREACHABLE, endpoint=entry.name, reason=repr(error))
+        return False
+    writer.close()
+    return True
+
+
+def _log_kept_call(call: Call, progress: CallProgress, entry: EndpointEntry) -> None:
+    """Logs once for each call that it stays at a slow endpoint."""
+    if not progress.kept_logged:
+        progress.kept_logged = True
+        log_event(Event.CALL_KEPT, call=call.head.call_id, endpoint=entry.name)
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -6,9 +6,10 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from contextvars import ContextVar
+from dataclasses import dataclass
 
 import aiohttp
 from aiohttp.connector import Connection
@@ -24,6 +25,7 @@
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.handover import hand_over
 
 __all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
 
@@ -74,13 +76,49 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt of a call at an endpoint."""
+
+    core: GatewayCore
+    call: Call
+    progress: CallProgress
+    entry: EndpointEntry
+
+    def is_overdue(self) -> bool:
+        """Returns whether the deadline of the call has passed."""
+        return self.core.clock() >= self.call.deadline
+
+    def limit_s(self, timeout_s: float) -> float:
+        """Returns a timeout in seconds, or the time to the deadline if shorter."""
+        remaining_s = self.call.deadline - self.core.clock()
+        return max(0.0, min(timeout_s, remaining_s))
+
+    async def hand_over(self, has_responded: Callable[[], bool]) -> bool:
+        """Returns whether another endpoint certainly takes over, see ``handover``."""
+        return await hand_over(
+            self.core, self.call, self.progress, self.entry, has_responded
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class OpenResponse:
+    """A response whose headers have arrived, and the end of its connection."""
+
+    response: aiohttp.ClientResponse
+    closed: asyncio.Future[None] | None
+
+
 class UpstreamResponse:
     """The response of an endpoint; status and headers have arrived."""
 
-    def __init__(self, response: aiohttp.ClientResponse, head: ResponseHead) -> None:
-        self.response = response
+    def __init__(
+        self, attempt: Attempt, opened: OpenResponse, head: ResponseHead
+    ) -> None:
+        self.attempt = attempt
+        self.response = opened.response
+        self.closed = opened.closed
         self.head = head
-        self.closed = _connection_end.get()
 
     async def read_chunk(self, timeout_s: float) -> bytes:
         """Returns the next bytes of the body, empty at its end.
@@ -99,6 +137,28 @@
             self._raise_if_reset()
         return data
 
+    async def read_or_hand_over(self, patience_s: float) -> bytes:
+        """Returns the next bytes of the body, empty at its end.
+
+        Raises ``UpstreamTimeoutError`` if none arrive within ``patience_s`` seconds
+        and another endpoint takes over, or at the deadline of the call. Raises
+        ``UpstreamFailedError`` if the response is incomplete.
+        """
+        content = self.response.content
+        known_bytes = content.total_bytes
+
+        def has_data() -> bool:
+            """Returns whether the response went on or ended."""
+            ended = content.is_eof() or content.exception() is not None
+            return ended or content.total_bytes > known_bytes
+
+        while True:
+            try:
+                return await self.read_chunk(self.attempt.limit_s(patience_s))
+            except UpstreamTimeoutError:
+                if self.attempt.is_overdue() or await self.attempt.hand_over(has_data):
+                    raise
+
     def _raise_if_reset(self) -> None:
         """Raises ``UpstreamFailedError`` if the connection was reset.
 
@@ -116,63 +176,83 @@
     call: Call,
     progress: CallProgress,
     entry: EndpointEntry,
-    timeout_s: float,
+    patience_s: float,
 ) -> AsyncIterator[UpstreamResponse]:
     """Sends a call and yields the response once its headers have arrived.
 
-    ``timeout_s`` limits the time until then, in seconds. Raises
-    ``UpstreamUnreachableError`` if nothing was sent, and ``UpstreamTimeoutError``
-    or ``UpstreamFailedError`` if the outcome is unknown.
+    ``patience_s`` is the time in seconds after which another endpoint may take
+    over. Raises ``UpstreamUnreachableError`` if nothing was sent, and
+    ``UpstreamTimeoutError`` or ``UpstreamFailedError`` if the outcome is unknown.
     """
+    attempt = Attempt(core, call, progress, entry)
     try:
-        response = await _request(core, call, progress, entry, timeout_s)
+        opened = await _request_or_hand_over(attempt, patience_s)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise UpstreamUnreachableError(f"connection failed: {error!r}") from error
     except TimeoutError as error:
         raise UpstreamTimeoutError("no answer in time") from error
     except (aiohttp.ClientError, OSError, ValueError) as error:
         raise UpstreamFailedError(f"no response: {error!r}") from error
+    response = opened.response
     try:
-        headers = response.headers
         head = core.call_format.read_response_head(
-            response.status, headers, call.head.call_id
+            response.status, response.headers, call.head.call_id
         )
         if not head.matches_call:
             raise UpstreamFailedError("the response belongs to another call")
-        yield UpstreamResponse(response, head)
+        yield UpstreamResponse(attempt, opened, head)
     finally:
         response.close()
 
 
-async def _request(
-    core: GatewayCore,
-    call: Call,
-    progress: CallProgress,
-    entry: EndpointEntry,
-    timeout_s: float,
-) -> aiohttp.ClientResponse:
-    now = core.clock()
+async def _request_or_hand_over(attempt: Attempt, patience_s: float) -> OpenResponse:
+    """Sends a call and waits for the headers of the response.
+
+    Raises ``TimeoutError`` if another endpoint takes over, or at the deadline.
+    """
+    task = asyncio.create_task(_request(attempt))
+    try:
+        while True:
+            await asyncio.wait({task}, timeout=attempt.limit_s(patience_s))
+            if task.done():
+                return task.result()
+            if attempt.is_overdue() or await attempt.hand_over(task.done):
+                raise TimeoutError
+    except BaseException:
+        task.cancel()
+        task.add_done_callback(_close_unused)
+        raise
+
+
+def _close_unused(task: asyncio.Task[OpenResponse]) -> None:
+    """Closes a response that arrived when nobody waited for it any more."""
+    if not task.cancelled() and task.exception() is None:
+        task.result().response.close()
+
+
+async def _request(attempt: Attempt) -> OpenResponse:
+    core, call, progress = attempt.core, attempt.call, attempt.progress
     workspace = call.workspace
     endpoint_call = EndpointCall(
-        endpoint=entry.name,
-        remaining_s=call.deadline - now,
+        endpoint=attempt.entry.name,
+        remaining_s=call.deadline - core.clock(),
         workspace=workspace.name if workspace else "",
         resume_after=progress.last_event_id,
         priority=engine_priority(call),
     )
     headers = core.call_format.endpoint_headers(call.headers, endpoint_call)
-    url = URL(f"http://{entry.address}{call.head.path}", encoded=True)
+    url = URL(f"http://{attempt.entry.address}{call.head.path}", encoded=True)
     connect_s = core.settings.tuning.connect_s
-    async with asyncio.timeout(timeout_s):
-        return await core.session.request(
-            call.method,
-            url,
-            headers=headers,
-            data=call.body or None,
-            allow_redirects=False,
-            skip_auto_headers=SKIPPED_HEADERS,
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
-        )
+    response = await core.session.request(
+        call.method,
+        url,
+        headers=headers,
+        data=call.body or None,
+        allow_redirects=False,
+        skip_auto_headers=SKIPPED_HEADERS,
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+    )
+    return OpenResponse(response, _connection_end.get())
 
 
 HIGHEST_PRIORITY = 0
