--- a/benchmarks/grants/simulation.py
+++ b/benchmarks/grants/simulation.py
@@ -7,6 +7,7 @@
 from benchmarks.grants.load import Arrival, Fleet, arrivals
 from benchmarks.grants.store import SimulatedStore, StoreParameters
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.exceptions import BudgetExhaustedError, UnavailableError
 from verbenagrade.settings.gateway import TuningSettings
 
@@ -137,6 +138,7 @@
             f"vm-{vm}-{self.incarnation}",
             TuningSettings(),
             self.loop.time,
+            StoreEras(self.loop.time),
         )
         gateway.vm_count = self.fleet.vms
         for workspace, tokens in self.prepaid.items():
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,11 +16,15 @@
     seconds: Annotated[
         float, typer.Option(help="Length of each seed's run, seconds.")
     ] = 20.0,
+    drills: Annotated[
+        bool, typer.Option(help="Let the store come back from older copies.")
+    ] = False,
+    faults: Annotated[bool, typer.Option(help="Inject all other faults.")] = True,
 ) -> None:
     """Runs the seeds one after another and prints each violated invariant."""
     failed = 0
     for seed in range(first, first + seeds):
-        report = asyncio.run(run_seed(seed, seconds))
+        report = asyncio.run(run_seed(seed, seconds, drills, faults))
         failed += bool(report.violations)
         typer.echo(
             f"seed {seed}: {report.run_count} runs, {report.spent_tokens} tokens,"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,7 @@
 from soak.environment import ENDPOINTS, GATEWAYS, SoakEnvironment
 from soak.proxy import LinkState
 
-__all__ = ["FAULTS", "inject_faults"]
+__all__ = ["FAULTS", "inject_drills", "inject_faults"]
 
 STOP_TIMEOUT_S = 8.0
 Fault = Callable[[SoakEnvironment, random.Random], Awaitable[None]]
@@ -136,6 +136,32 @@
 )
 
 
+async def restore_copy_of_store(
+    environment: SoakEnvironment, rng: random.Random
+) -> None:
+    """Makes the store come back from a copy that is up to 4 s old.
+
+    Operator and endpoints write again what was lost of theirs, after up to 1 s.
+    """
+    environment.store.take_copy()
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    environment.store.status = 503
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    lost = environment.store.come_back_from_copy()
+    environment.store.status = 0
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    environment.store.write_again(lost, ("op", "servers"))
+
+
+async def inject_drills(
+    environment: SoakEnvironment, rng: random.Random, stop: asyncio.Event
+) -> None:
+    """Lets the store come back from older copies until ``stop`` is set."""
+    while not stop.is_set():
+        await asyncio.sleep(rng.uniform(1.0, 6.0))
+        await restore_copy_of_store(environment, rng)
+
+
 async def inject_faults(
     environment: SoakEnvironment, rng: random.Random, stop: asyncio.Event
 ) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,7 +8,7 @@
 from soak.checks import Violation
 from soak.clients import Client
 from soak.environment import SoakEnvironment
-from soak.faults import inject_faults
+from soak.faults import inject_drills, inject_faults
 
 __all__ = ["SoakReport", "run_seed"]
 
@@ -33,9 +33,16 @@
     log_directory: Path
 
 
-async def run_seed(seed: int, seconds: float) -> SoakReport:
-    """Runs gateways, clients and faults for ``seconds``, then lets open calls end."""
+async def run_seed(
+    seed: int, seconds: float, drills: bool = False, faults: bool = True
+) -> SoakReport:
+    """Runs gateways, clients and faults for ``seconds``, then lets open calls end.
+
+    With ``drills``, the store comes back from older copies besides, and without
+    ``faults`` nothing else happens to it or to the processes.
+    """
     environment = SoakEnvironment(seed)
+    environment.store.era = 1
     await environment.start()
     stop = asyncio.Event()
     clients = [
@@ -51,7 +58,10 @@
         async with asyncio.TaskGroup() as group:
             for client in clients:
                 group.create_task(client.run(stop))
-            for number in range(FAULT_INJECTORS):
+            if drills:
+                rng = random.Random(seed * 100 + FAULT_INJECTORS)
+                group.create_task(inject_drills(environment, rng, stop))
+            for number in range(FAULT_INJECTORS if faults else 0):
                 rng = random.Random(seed * 100 + number)
                 group.create_task(inject_faults(environment, rng, stop))
             await asyncio.sleep(seconds)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -11,6 +11,14 @@
 failed after the stream was resumed."""
 
 
+# The store comes back from older copies, alone and together with the other faults.
+@pytest.mark.parametrize(("seed", "faults"), [(1, False), (11, True)])
+async def test_drill_of_the_store_violates_no_invariant(seed, faults):
+    report = await run_seed(seed, SECONDS, drills=True, faults=faults)
+    assert report.violations == ()
+    assert report.status_counts.get("200", 0) > 50
+
+
 @pytest.mark.parametrize("seed", (*SEEDS, *REGRESSION_SEEDS))
 async def test_seed_violates_no_invariant(seed):
     report = await run_seed(seed, SECONDS)
--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -22,25 +22,43 @@
     "BudgetAccount",
     "CachedRow",
     "GrantRow",
+    "ShardState",
     "apply_confirmed_grant",
     "decode_cached_row",
     "log_grant_adjusted",
     "log_grant_delayed",
+    "shards_prefix",
 ]
 
 
+@dataclass(frozen=True, slots=True)
+class ShardState:
+    """The row of a shard in an era of the store, at a version.
+
+    Of two states the one of the later era, or with the higher version, is later.
+    It then contains all grants that the other one contains.
+    """
+
+    era: int = 0
+    version: int = 0
+    tokens: int = 0
+    spent: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class GrantRow:
     """The stored value of a row of the table ``grants``.
 
     ``tokens`` is the number of tokens granted, ``spent`` the number of them known
     to be spent when the row was written. ``incarnation`` names the incarnation
-    that holds the grant; it is empty in the row of a shard.
+    that holds the grant; it is empty in the row of a shard. ``origin`` is set in the
+    row of a shard that was restored in a new era of the store.
     """
 
     tokens: int
     spent: int = 0
     incarnation: str = ""
+    origin: ShardState | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,21 +66,45 @@
     """The version and value of a row as last read or written by this VM.
 
     ``lost`` is the number of unspent tokens that an earlier incarnation of this
-    VM held. They cannot be spent any more.
+    VM held. They cannot be spent any more. ``origin`` is that of ``GrantRow``.
     """
 
     version: int = 0
     tokens: int = 0
     spent: int = 0
     lost: int = 0
+    origin: ShardState | None = None
 
     def with_transfer(self, tokens: int, spent: int) -> "CachedRow":
         """Returns the row with ``tokens`` more granted and ``spent`` more spent."""
-        return CachedRow(self.version, self.tokens + tokens, self.spent + spent)
+        return CachedRow(
+            self.version, self.tokens + tokens, self.spent + spent, origin=self.origin
+        )
 
     def encode(self, incarnation: str = "") -> bytes:
         """Returns the value as encoded in the store, without ``lost``."""
-        return msgspec.json.encode(GrantRow(self.tokens, self.spent, incarnation))
+        return msgspec.json.encode(
+            GrantRow(self.tokens, self.spent, incarnation, self.origin)
+        )
+
+    def state_in(self, era: int) -> ShardState:
+        """Returns the state of a shard in an era, for its restoration in another."""
+        return ShardState(era, self.version, self.tokens, self.spent)
+
+    def restored_from(self, known: ShardState) -> "CachedRow":
+        """Returns the row with what it misses of a later state of an earlier era.
+
+        The row itself is returned if ``known`` is not later than its origin.
+        """
+        origin = self.origin or ShardState()
+        if (known.era, known.version) <= (origin.era, origin.version):
+            return self
+        return replace(
+            self,
+            tokens=self.tokens + known.tokens - origin.tokens,
+            spent=self.spent + known.spent - origin.spent,
+            origin=known,
+        )
 
 
 class BudgetAccount:
@@ -74,13 +116,20 @@
     the response to a transaction was lost, and ``is_loaded`` once the shards have been
     read. ``shards_read_at`` is the time of the last read, in seconds. ``lock``
     serializes the transactions of this account.
+
+    Each ``era`` of the store has rows of its own, so that a transaction of an earlier
+    era which is committed late changes nothing. ``known_states`` are the latest states
+    of the shards in earlier eras. ``must_restore`` is true until they are in the rows
+    of this era, and ``is_restored`` if the budget had rows in an earlier era.
     """
 
-    def __init__(self, workspace: str, vm: str, now: float) -> None:
+    def __init__(self, workspace: str, vm: str, now: float, era: int) -> None:
         self.workspace = workspace
-        # Keys in the store call a shard a pot.
-        self.shards_prefix = f"grants/{workspace}/pot/"
-        self.own_key = f"grants/{workspace}/vm/{vm}"
+        self.vm = vm
+        self.era = era
+        self.known_states: dict[int, ShardState] = {}
+        self.must_restore = era > 0
+        self.is_restored = False
         self.allowance = Allowance(now)
         self.shard_order = shard_order(workspace, vm)
         self.shards = [CachedRow() for _ in range(SHARD_COUNT)]
@@ -92,6 +141,39 @@
         self.prepaid = 0
         self.lock = asyncio.Lock()
 
+    @property
+    def shards_prefix(self) -> str:
+        """The prefix of the keys of the shards in this era of the store."""
+        return shards_prefix(self.workspace, self.era)
+
+    @property
+    def own_key(self) -> str:
+        """The key of the row of this VM in this era of the store."""
+        return f"{_budget_prefix(self.workspace, self.era)}vm/{self.vm}"
+
+    def enter_era(self, era: int) -> None:
+        """Moves on to the rows of a later era of the store.
+
+        The tokens of this VM stay granted. Those in a return that may have been
+        committed count as returned, and those of a grant without a confirmation as
+        not granted.
+        """
+        if not self.must_restore:
+            self.known_states = {
+                shard: row.state_in(self.era)
+                for shard, row in enumerate(self.shards)
+                if row.version
+            }
+        self.era = era
+        self.shards = [CachedRow() for _ in range(SHARD_COUNT)]
+        tokens = self.own.tokens - self.pending_return
+        self.own = CachedRow(0, tokens, self.own.spent, self.own.lost)
+        self.pending_return = 0
+        self.must_reload = False
+        self.is_loaded = False
+        self.must_restore = True
+        self.is_restored = True
+
     @property
     def granted(self) -> int:
         """Tokens granted to all VMs, according to the cached shard rows."""
@@ -123,6 +205,9 @@
         """
         if row.version != self.own.version:
             self.pending_return = 0
+        elif row.version == 0:
+            # Not written in this era yet; the tokens were granted in an earlier one.
+            return
         self.own = row
 
     def transfers(self, need: int, desired: int) -> tuple[ShardTransfer, ...]:
@@ -165,7 +250,17 @@
     value = msgspec.json.decode(row.value, type=GrantRow)
     if value.incarnation != incarnation:
         return CachedRow(row.version, lost=value.tokens - value.spent)
-    return CachedRow(row.version, value.tokens, value.spent)
+    return CachedRow(row.version, value.tokens, value.spent, origin=value.origin)
+
+
+def shards_prefix(workspace: str, era: int) -> str:
+    """Returns the prefix of the keys of a budget's shards in an era of the store."""
+    # Keys in the store call a shard a pot.
+    return f"{_budget_prefix(workspace, era)}pot/"
+
+
+def _budget_prefix(workspace: str, era: int) -> str:
+    return f"grants/{workspace}/e{era}/" if era else f"grants/{workspace}/"
 
 
 def log_grant_adjusted(account: BudgetAccount, tokens: int, committed: bool) -> None:
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -14,6 +14,7 @@
 )
 from verbenagrade.coordination.grant_transactions import GrantTransactions
 from verbenagrade.coordination.ports import PlatformStore
+from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.exceptions import (
     BudgetExhaustedError,
     PlatformError,
@@ -76,6 +77,7 @@
     """Reserves tokens for calls and keeps this VM's grants on all budgets.
 
     ``vm_count`` is the number of VMs in the fleet. ``clock`` returns seconds.
+    ``eras`` tells when the store has lost recent transactions.
     """
 
     def __init__(
@@ -85,12 +87,14 @@
         incarnation: str,
         tuning: TuningSettings,
         clock: Callable[[], float],
+        eras: StoreEras,
     ) -> None:
         self.table = table
         self.vm = vm
         self.incarnation = incarnation
         self.tuning = tuning
         self.clock = clock
+        self.eras = eras
         self.vm_count = 1
         self.random = random.Random(incarnation)
         self.accounts: dict[str, BudgetAccount] = {}
@@ -163,6 +167,7 @@
     async def rebalance(self) -> None:
         """Refreshes stale accounts and returns tokens that exceed this VM's demand."""
         for account in tuple(self.accounts.values()):
+            await self._restore(account)
             await self._refresh_shards(account)
             unreturned = account.own.tokens - account.allowance.granted
             if account.lock.locked() or unreturned + self._surplus(account) <= 0:
@@ -170,6 +175,16 @@
             async with account.lock:
                 await self._return_tokens(account, self._surplus)
 
+    async def _restore(self, account: BudgetAccount) -> None:
+        """Restores a budget after a change of the store's era."""
+        if not account.must_restore or account.lock.locked():
+            return
+        async with account.lock:
+            try:
+                await self.grant_transactions.refresh(account)
+            except PlatformError as error:
+                log_grant_delayed(account, error)
+
     async def _refresh_shards(self, account: BudgetAccount) -> None:
         """Reads the shards again if they are stale and this VM holds free tokens."""
         period_s = max(REFRESH_INTERVAL_S, REFRESH_INTERVAL_S_PER_VM * self.vm_count)
@@ -200,10 +215,32 @@
     def _get_or_create_account(self, workspace: str) -> BudgetAccount:
         account = self.accounts.get(workspace)
         if account is None:
-            account = BudgetAccount(workspace, self.vm, self.clock())
+            now = self.clock()
+            account = BudgetAccount(workspace, self.vm, now, self.eras.number)
             self.accounts[workspace] = account
         return account
 
+    def enter_era(self) -> None:
+        """Moves all accounts on to the present era of the store.
+
+        What this VM holds can be spent as before. Nothing new is granted until what
+        was lost is restored and the other VMs had the time to do so as well.
+        """
+        for account in self.accounts.values():
+            if account.era != self.eras.number:
+                account.enter_era(self.eras.number)
+
+    def settling_budgets(self) -> int:
+        """Returns the number of budgets that grant nothing since the era changed."""
+        return sum(map(self._is_settling, self.accounts.values()))
+
+    def _is_settling(self, account: BudgetAccount) -> bool:
+        """Returns whether other VMs may still have to restore their grants."""
+        settled_at = self.eras.since + self.tuning.era_settle_s
+        return account.must_restore or (
+            account.is_restored and self.clock() < settled_at
+        )
+
     def _tokens_to_keep(self, account: BudgetAccount) -> int:
         """Returns the number of free tokens to keep for expected calls."""
         budget = self._budget_view(account, max(0, account.allowance.free))
@@ -247,6 +284,8 @@
                 if self._must_read_shards(account):
                     await self.grant_transactions.refresh(account)
                 tokens = self._planned_tokens(account, 0)
+                if self._is_settling(account):
+                    tokens = 0
                 for _ in range(MAX_REFILL_TRANSACTIONS):
                     if tokens <= 0 or await self.grant_transactions.transfer(
                         account, 0, tokens
@@ -274,6 +313,11 @@
                 await self.grant_transactions.refresh(account)
                 fresh = True
                 continue
+            if self._is_settling(account):
+                raise UnavailableError(
+                    f"{account.workspace} settles after the store came back from an"
+                    " older copy; retry in a few seconds"
+                )
             need = bound - account.allowance.free
             tokens = self._planned_tokens(account, need)
             if tokens < need:
@@ -289,7 +333,7 @@
 
     def _must_read_shards(self, account: BudgetAccount) -> bool:
         """Returns whether the shards must be read before the next transaction."""
-        if account.must_reload or not account.is_loaded:
+        if account.must_reload or account.must_restore or not account.is_loaded:
             return True
         return self.clock() - account.shards_read_at > SHARDS_FRESH_S
 
@@ -315,7 +359,7 @@
         transaction, so that it cannot be spent if the response is lost.
         """
         try:
-            if account.must_reload:
+            if account.must_reload or account.must_restore:
                 await self.grant_transactions.refresh(account)
             for _ in range(MAX_TRANSACTIONS_PER_TRANSFER):
                 surplus = max(0, surplus_of(account))
--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from verbenagrade.coordination.ports import Changes, Check, PlatformStore, Write
+from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
 from verbenagrade.state.poison_calls import PoisonCalls
@@ -17,26 +18,40 @@
 __all__ = ["FLEET_TABLE", "GatewayFleet"]
 
 FLEET_TABLE = "fleet"
+NO_ERA = -1
+"""Stands for the era of a row that is not written yet."""
+
+MAX_OWN_REPORTS = 1_000
+"""Largest number of crashes that a VM keeps to write them again, about 150 bytes
+each; the one seen longest ago is dropped."""
+
 CRASH_KEY_PARTS = 3
 
 
 class GatewayFleet:
     """The VMs that run gateways, and the calls that crashed endpoints.
 
-    ``vms`` contains the names of all VMs, this one included.
+    ``vms`` contains the names of all VMs, this one included. ``eras`` tells when the
+    store has lost recent rows; this VM then writes again what it wrote before.
+    ``own_reports`` are the keys of the crashes that this VM saw, each with the era in
+    which its row was written, or ``NO_ERA``.
     """
 
-    def __init__(self, table: PlatformStore, vm: str, incarnation: str) -> None:
+    def __init__(
+        self, table: PlatformStore, vm: str, incarnation: str, eras: StoreEras
+    ) -> None:
         self.table = table
         self.vm = vm
         self.incarnation = incarnation
+        self.eras = eras
         self.vms: set[str] = {vm}
         self.poison_calls = PoisonCalls()
-        self.announced = False
+        self.announced_in = NO_ERA
+        self.own_reports: dict[str, int] = {}
 
     def apply(self, changes: Changes) -> None:
         """Applies changes of the table to the local state."""
-        if changes.complete:
+        if changes.complete and not changes.restored:
             self.vms = {self.vm}
         for row in changes.rows:
             self._apply_row(row.key)
@@ -46,15 +61,16 @@
                 self.vms.discard(name)
 
     async def announce(self) -> None:
-        """Writes this VM's row, once for each incarnation.
+        """Writes this VM's row, once for each incarnation and era of the store.
 
         Raises ``PlatformError`` if the store does not respond.
         """
-        if not self.announced:
+        era = self.eras.number
+        if self.announced_in != era:
             key = f"{FLEET_TABLE}//vm/{self.vm}"
             value = msgspec.json.encode(self.incarnation)
             await self.table.commit((), (Write(key, value),))
-            self.announced = True
+            self.announced_in = era
 
     async def withdraw(self) -> None:
         """Removes this VM's row at a graceful shutdown.
@@ -71,17 +87,35 @@
         """Records that an endpoint incarnation broke the connection during a call.
 
         ``digest`` identifies the call. If the store does not respond, the failure
-        is logged, and only this gateway knows of the crash.
+        is logged, and ``write_reports`` tries again.
         """
         if not self.poison_calls.record_crash(digest, endpoint):
             return
         key = f"{FLEET_TABLE}//crash/{digest}/{endpoint}"
-        checks = (Check(key, 0),)
+        self.own_reports[key] = NO_ERA
+        while len(self.own_reports) > MAX_OWN_REPORTS:
+            self.own_reports.pop(next(iter(self.own_reports)))
         try:
-            await self.table.commit(checks, (Write(key, b"{}"),))
+            await self._write_report(key)
         except PlatformError as error:
             log_event(Event.CRASH_NOT_REPORTED, digest=digest, reason=str(error))
 
+    async def write_reports(self) -> None:
+        """Writes the crashes that this VM saw and the store does not have yet.
+
+        These are crashes whose row could not be written, and all of them after the
+        store has lost recent rows. Raises ``PlatformError`` if it does not respond.
+        """
+        for key, era in tuple(self.own_reports.items()):
+            if era != self.eras.number:
+                await self._write_report(key)
+
+    async def _write_report(self, key: str) -> None:
+        era = self.eras.number
+        await self.table.commit((Check(key, 0),), (Write(key, b"{}"),))
+        if key in self.own_reports:
+            self.own_reports[key] = era
+
     def _apply_row(self, key: str) -> None:
         parts = key.removeprefix(f"{FLEET_TABLE}//").split("/")
         if parts[0] == "vm":
--- a/verbenagrade/coordination/gateway_updates.py
+++ b/verbenagrade/coordination/gateway_updates.py
@@ -9,7 +9,7 @@
     EndpointEntry,
 )
 from verbenagrade.state.documents import DocumentError, DocumentFormat
-from verbenagrade.state.routes import RouteIndex
+from verbenagrade.state.routes import GatewayConfiguration, RouteIndex
 
 __all__ = ["apply_configuration", "apply_endpoints"]
 
@@ -22,7 +22,8 @@
 ) -> RouteIndex | None:
     """Returns the index of the newest configuration.
 
-    This is ``index`` itself if the changes contain no newer one. For a newer
+    This is ``index`` itself if the changes contain no newer one. An older one, such as
+    that of a store that came back from an older copy, is never applied. For a newer
     configuration, ``allowances`` receives the prepaid tokens of each workspace. An
     invalid document is logged and ignored.
     """
@@ -34,7 +35,7 @@
         except DocumentError as error:
             log_event(Event.DOCUMENT_IGNORED, version=row.version, reason=str(error))
             continue
-        if index is not None and configuration.version <= index.configuration.version:
+        if index is not None and not _supersedes(configuration, index.configuration):
             continue
         index = RouteIndex(configuration)
         for workspace in configuration.workspaces:
@@ -49,6 +50,19 @@
     return index
 
 
+def _supersedes(
+    configuration: GatewayConfiguration, current: GatewayConfiguration
+) -> bool:
+    """Returns whether a configuration replaces the current one.
+
+    The same version with another content was given out again after the store had
+    lost the first.
+    """
+    if configuration.version == current.version:
+        return configuration != current
+    return configuration.version > current.version
+
+
 def apply_endpoints(
     directory: EndpointDirectory,
     changes: Changes,
@@ -61,7 +75,9 @@
     invalid entry is logged and ignored.
     """
     entries = [entry for row in changes.rows for entry in _decode_entry(row, documents)]
-    if changes.complete:
+    if changes.restored:
+        ended = directory.restore(entries, now).ended
+    elif changes.complete:
         ended = directory.replace(entries, now).ended
     else:
         ended = tuple(name for entry in entries for name in directory.put(entry).ended)
--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -14,14 +14,27 @@
 from verbenagrade.coordination.accounts import (
     BudgetAccount,
     CachedRow,
+    ShardState,
     apply_confirmed_grant,
     decode_cached_row,
     log_grant_adjusted,
+    shards_prefix,
 )
-from verbenagrade.coordination.ports import Check, CommitResult, PlatformStore, Write
+from verbenagrade.coordination.ports import (
+    Check,
+    CommitResult,
+    PlatformStore,
+    Row,
+    Write,
+)
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import PlatformError
 
 __all__ = ["GrantTransactions"]
 
+MAX_EARLIER_ERAS = 8
+"""Number of earlier eras in which the rows of a budget are looked for."""
+
 
 class GrantTransactions:
     """Runs the transactions on the ``grants`` table for one incarnation of a VM.
@@ -108,7 +121,10 @@
         unchanged after a lost response, the transaction may still be committed
         later. Raises ``PlatformError`` if the store does not respond.
         """
-        account.update_shards(await self.table.scan(account.shards_prefix))
+        if account.must_restore:
+            await self.restore(account)
+        else:
+            account.update_shards(await self.table.scan(account.shards_prefix))
         if account.must_reload:
             (own,) = await self.table.read((account.own_key,))
             account.update_own(decode_cached_row(own, self.incarnation))
@@ -116,3 +132,69 @@
         account.shards_read_at = self.clock()
         apply_confirmed_grant(account)
         account.must_reload = False
+
+    async def restore(self, account: BudgetAccount) -> None:
+        """Writes into this era what is known of the shards in earlier ones.
+
+        Each shard ends up in the latest state that the copy or a VM has of it. Raises
+        ``PlatformError`` if the store does not respond, or if other VMs restore the
+        same budget at the same time.
+        """
+        account.update_shards(await self.table.scan(account.shards_prefix))
+        present = dict(enumerate(account.shards))
+        if not any(row.version for row in account.shards):
+            present |= await self._read_earlier_rows(account)
+        restored = {
+            shard: row.restored_from(account.known_states.get(shard, ShardState()))
+            for shard, row in present.items()
+        }
+        changed = {k: row for k, row in restored.items() if row != account.shards[k]}
+        if changed:
+            await self._write_shards(account, changed)
+        account.is_restored |= any(row.origin for row in account.shards)
+        account.must_restore = False
+        account.known_states = {}
+        log_event(
+            Event.BUDGET_RESTORED,
+            workspace=account.workspace,
+            era=account.era,
+            shards=len(changed),
+            granted=account.granted,
+        )
+
+    async def _read_earlier_rows(self, account: BudgetAccount) -> dict[int, CachedRow]:
+        """Returns the rows of the latest earlier era in which the budget has any."""
+        earliest = max(0, account.era - MAX_EARLIER_ERAS)
+        for era in (*range(account.era - 1, max(0, earliest - 1), -1), 0):
+            prefix = shards_prefix(account.workspace, era)
+            rows = await self.table.scan(prefix)
+            if rows:
+                return {
+                    int(row.key.removeprefix(prefix)): _first_row(row, era)
+                    for row in rows
+                }
+        return {}
+
+    async def _write_shards(
+        self, account: BudgetAccount, rows: Mapping[int, CachedRow]
+    ) -> None:
+        checks = tuple(
+            Check(account.shard_key(shard), account.shards[shard].version)
+            for shard in rows
+        )
+        writes = tuple(
+            Write(account.shard_key(shard), row.encode()) for shard, row in rows.items()
+        )
+        commit = await self.table.commit(checks, writes)
+        if not commit.committed:
+            raise PlatformError(
+                f"{account.workspace}: restored by other VMs too; read again"
+            )
+        for shard, row in rows.items():
+            account.shards[shard] = replace(row, version=commit.version)
+
+
+def _first_row(row: Row, era: int) -> CachedRow:
+    """Returns the first row of a shard in a new era, from its row in an earlier one."""
+    earlier = decode_cached_row(row, "")
+    return replace(earlier, version=0, origin=earlier.state_in(era))
--- a/verbenagrade/coordination/ports.py
+++ b/verbenagrade/coordination/ports.py
@@ -13,6 +13,8 @@
     "Check",
     "Clock",
     "CommitResult",
+    "EraMark",
+    "EraObserver",
     "ObjectStore",
     "PlatformStore",
     "Row",
@@ -100,6 +102,31 @@
     fetch: Callable[[], Awaitable[tuple[VmEntry, ...]]]
 
 
+@dataclass(frozen=True, slots=True)
+class EraMark:
+    """What a response of the store tells about its era.
+
+    The era rises by one each time that the store comes back from an older copy.
+    ``era`` is ``None`` if ``text``, the received value, is missing or not a number.
+    """
+
+    era: int | None
+    text: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class EraObserver:
+    """Takes notice of the era of each response of the store.
+
+    ``current`` returns the newest era known, which a client asks when it sends a
+    request. ``observe`` takes what the response tells and that era. It raises
+    ``PlatformError`` if the response must not be used.
+    """
+
+    current: Callable[[], int | None]
+    observe: Callable[[EraMark, int | None], None]
+
+
 @dataclass(frozen=True, slots=True)
 class CommitResult:
     """The result of a transaction.
@@ -118,14 +145,17 @@
     """Rows that changed up to ``version``, and the keys of removed rows.
 
     If ``complete`` is true, ``rows`` contains all rows of the table, not only the
-    changed ones. ``received_bytes`` is the size of the response, and ``superseded``
-    the number of its rows that a later row of the same response replaces.
+    changed ones. If ``restored`` is true too, the store has come back from an older
+    copy, and rows may be older than those seen before. ``received_bytes`` is the size
+    of the response, and ``superseded`` the number of its rows that a later row of the
+    same response replaces.
     """
 
     version: int
     rows: tuple[Row, ...]
     removed: tuple[str, ...] = ()
     complete: bool = False
+    restored: bool = False
     received_bytes: int = 0
     superseded: int = 0
 
--- a/verbenagrade/coordination/table_feed.py
+++ b/verbenagrade/coordination/table_feed.py
@@ -10,11 +10,12 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 
 from verbenagrade.coordination.ports import Changes, PlatformStore
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import (
+    EraChangedError,
     HistoryLostError,
     PlatformError,
     ResponseDeclinedError,
@@ -28,6 +29,13 @@
 """Bounds of the delay before a failed request is retried, in seconds. The maximum
 is a quarter of the time within which a configuration has to be in force."""
 
+RESTART_EVENTS = {
+    EraChangedError: Event.HISTORY_LOST,
+    HistoryLostError: Event.HISTORY_LOST,
+    ResponseDeclinedError: Event.REPLAY_DECLINED,
+}
+"""Errors after which the whole table is read, and the events logged for them."""
+
 NO_CHANGE_AFTER_S = 0.3
 """Time in seconds after which a pending request for changes shows that there are
 none. It covers several round trips to the store in the farthest region."""
@@ -141,17 +149,46 @@
     on_received: Callable[[TableResponse], None]
 
 
+class FeedPosition:
+    """Up to where a table was read: the version, and the era of the store.
+
+    ``version`` is ``None`` if the whole table has to be read next.
+    """
+
+    def __init__(self) -> None:
+        self.version: int | None = None
+        self.era: int | None = None
+
+    def is_outdated(self, era: int | None) -> bool:
+        """Returns whether the position is one of an earlier era."""
+        return self.era not in (None, era)
+
+    def advance(self, changes: Changes, era: int | None) -> Changes:
+        """Moves on; marks a complete read after a change of the era as restored."""
+        self.version = changes.version
+        if not changes.complete:
+            return changes
+        restored = self.is_outdated(era)
+        self.era = era
+        return replace(changes, restored=restored)
+
+
 async def follow_table(
     table: PlatformStore,
     followed: FollowedTable,
     freshness: TableFreshness,
     clock: Callable[[], float],
     seed: int,
+    current_era: Callable[[], int | None],
 ) -> None:
-    """Applies all rows of a table and then every change to it, until cancelled."""
+    """Applies all rows of a table and then every change to it, until cancelled.
+
+    ``current_era`` returns the era of the store, ``None`` if it tells none. When it
+    changes, the whole table is read again and its rows are marked as restored.
+    """
     jitter = random.Random(seed)
     backoff_s = MIN_BACKOFF_S
-    version: int | None = None
+    position = FeedPosition()
     replays = ReplayDetector()
 
     def accept_table(_size_bytes: int) -> bool:
@@ -166,7 +203,8 @@
         return not replays.is_replay(size_bytes, wait_s)
 
     async def next_changes() -> Changes:
-        """Reads the table in full, or waits for changes since ``version``."""
+        """Reads the table in full, or waits for changes since the position."""
+        version = None if position.is_outdated(current_era()) else position.version
         freshness.record_request(clock(), reading_table=version is None)
         if version is None:
             return await table.load(followed.name, accept_table)
@@ -178,23 +216,20 @@
     while True:
         try:
             changes = await next_changes()
-        except HistoryLostError as error:
-            log_event(Event.HISTORY_LOST, table=followed.name, reason=str(error))
-            version = None
-            continue
-        except ResponseDeclinedError as error:
-            log_event(Event.REPLAY_DECLINED, table=followed.name, reason=str(error))
-            version = None
+        except tuple(RESTART_EVENTS) as error:
+            event = RESTART_EVENTS[type(error)]
+            log_event(event, table=followed.name, reason=str(error))
+            position.version = None
             continue
         except PlatformError as error:
             _handle_failure(freshness, followed, error)
             await asyncio.sleep(backoff_s * jitter.uniform(0.5, 1.0))
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
             continue
+        changes = position.advance(changes, current_era())
         _record_size(replays, changes, freshness.transfer_s(clock()))
         _handle_response(freshness, followed, changes, clock())
         backoff_s = MIN_BACKOFF_S
-        version = changes.version
         followed.apply(changes)
 
 
@@ -226,6 +261,8 @@
 ) -> None:
     if changes.rows or changes.removed:
         _report_response(freshness, followed, changes, now)
+    if changes.restored and not freshness.unavailable:
+        followed.on_reconnect()
     if freshness.unavailable:
         freshness.unavailable = False
         followed.on_reconnect()
--- /dev/null
+++ b/verbenagrade/coordination/tests/test_store_eras.py
@@ -0,0 +1,370 @@
+"""Tests of budgets while the store comes back from older copies."""
+
+import asyncio
+from contextlib import suppress
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.ports import (
+    CommitResult,
+    EraMark,
+    PlatformStore,
+    Row,
+)
+from verbenagrade.coordination.store_eras import StoreEras, guard_eras
+from verbenagrade.exceptions import (
+    BudgetExhaustedError,
+    EraChangedError,
+    PlatformError,
+    UnavailableError,
+)
+from verbenagrade.settings.gateway import TuningSettings
+
+BUDGET = "hotel"
+PREPAID = 2_000
+VMS = 3
+REFRESH_S = 6.0
+"""Time after which a VM that holds tokens reads the shards again, in seconds."""
+
+
+class FakeClock:
+    def __init__(self) -> None:
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class DrillStore:
+    """A store in memory that can come back from an older copy of itself.
+
+    Versions then go back and are given out again, and the era rises by one. The
+    response to the next commit is lost if ``fault`` is ``"lost"``; the commit itself
+    waits for ``apply_delayed`` if it is ``"delayed"``.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+        self.era = 1
+        self.copy = ({}, 0)
+        self.fault = ""
+        self.delayed: list = []
+
+    def take_copy(self) -> None:
+        self.copy = (dict(self.rows), self.version)
+
+    def come_back(self) -> None:
+        self.rows, self.version = dict(self.copy[0]), self.copy[1]
+        self.era += 1
+
+    def port(self, eras: StoreEras) -> PlatformStore:
+        async def read(keys):
+            self._observe(eras)
+            return tuple(self.rows.get(key) for key in keys)
+
+        async def scan(prefix):
+            self._observe(eras)
+            return tuple(
+                row for key, row in sorted(self.rows.items()) if key.startswith(prefix)
+            )
+
+        async def commit(checks, writes):
+            if self.fault == "delayed":
+                self.fault = ""
+                self.delayed.append((checks, writes))
+                raise PlatformError("no response yet")
+            result = self._commit(checks, writes)
+            if self.fault == "lost":
+                self.fault = ""
+                raise PlatformError("the response was lost")
+            self._observe(eras)
+            return result
+
+        return guard_eras(PlatformStore(read, scan, commit, None, None), eras)
+
+    def apply_delayed(self) -> None:
+        for checks, writes in self.delayed:
+            self._commit(checks, writes)
+        self.delayed.clear()
+
+    def _observe(self, eras: StoreEras) -> None:
+        eras.observe(EraMark(self.era, str(self.era)), eras.current)
+
+    def _commit(self, checks, writes) -> CommitResult:
+        present = tuple(self.rows[c.key] for c in checks if c.key in self.rows)
+        for check in checks:
+            row = self.rows.get(check.key)
+            if (row.version if row else 0) != check.version:
+                return CommitResult(False, self.version, present)
+        self.version += 1
+        for write in writes:
+            self.rows[write.key] = Row(write.key, self.version, write.value)
+        return CommitResult(True, self.version)
+
+
+class Fleet:
+    """VMs that spend one budget from a store; ``spent`` counts their tokens."""
+
+    def __init__(self) -> None:
+        self.store = DrillStore()
+        self.clock = FakeClock()
+        self.prepaid = PREPAID
+        self.spent = 0
+        self.starts = 0
+        self.managers = [self.start(n) for n in range(VMS)]
+
+    def start(self, vm: int) -> AllowanceManager:
+        self.starts += 1
+        eras = StoreEras(self.clock)
+        eras.observe(EraMark(self.store.era), None)
+        manager = AllowanceManager(
+            self.store.port(eras),
+            f"vm-{vm}",
+            f"vm-{vm}-{self.starts}",
+            TuningSettings(),
+            self.clock,
+            eras,
+        )
+        eras.on_change = manager.enter_era
+        manager.vm_count = VMS
+        manager.set_prepaid(BUDGET, self.prepaid)
+        return manager
+
+    async def call(self, vm: int, tokens: int) -> bool:
+        """Serves a call that uses all its tokens, if the VM can reserve them."""
+        try:
+            await self.managers[vm].reserve(BUDGET, tokens)
+        except (BudgetExhaustedError, UnavailableError):
+            return False
+        self.managers[vm].settle(BUDGET, tokens, tokens)
+        self.spent += tokens
+        await self._finish_refills()
+        return True
+
+    async def spend_all(self, vm: int, tokens: int) -> None:
+        """Serves calls of the same size until one is refused."""
+        while await self.call(vm, tokens):
+            pass
+
+    def spendable(self) -> int:
+        """Returns the tokens that all VMs hold and have not spent."""
+        accounts = [manager.accounts[BUDGET] for manager in self.managers]
+        return sum(max(0, account.allowance.free) for account in accounts)
+
+    async def advance(self, seconds: int) -> None:
+        """Lets time pass, with the maintenance of each VM once a second.
+
+        A VM learns the era of the store from the tables that it follows.
+        """
+        for _ in range(seconds):
+            self.clock.now += 1.0
+            for manager in self.managers:
+                with suppress(EraChangedError):
+                    await manager.table.read(("op//config",))
+                await manager.prefetch_grants()
+                await manager.rebalance()
+                await self._finish_refills()
+
+    def top_up(self, tokens: int) -> None:
+        self.prepaid += tokens
+        for manager in self.managers:
+            manager.set_prepaid(BUDGET, self.prepaid)
+
+    async def _finish_refills(self) -> None:
+        for manager in self.managers:
+            await asyncio.gather(*manager.refills)
+
+
+class DrillMachine(RuleBasedStateMachine):
+    """Interleaves calls, drills, lost responses, restarts and top-ups."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.fleet = Fleet()
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+    @rule(vm=st.integers(0, VMS - 1), tokens=st.integers(1, 120))
+    def call(self, vm, tokens):
+        self.loop.run_until_complete(self.fleet.call(vm, tokens))
+
+    @rule(vm=st.integers(0, VMS - 1), tokens=st.integers(20, 200))
+    def spend_all(self, vm, tokens):
+        self.loop.run_until_complete(self.fleet.spend_all(vm, tokens))
+
+    @rule(seconds=st.integers(1, 8))
+    def advance(self, seconds):
+        self.loop.run_until_complete(self.fleet.advance(seconds))
+
+    @rule()
+    def take_copy(self):
+        self.fleet.store.take_copy()
+
+    @rule()
+    def come_back(self):
+        self.fleet.store.come_back()
+        # Each VM reaches the store before the next drill.
+        self.loop.run_until_complete(self.fleet.advance(2))
+
+    @rule(fault=st.sampled_from(["lost", "delayed"]))
+    def fail_next_commit(self, fault):
+        self.fleet.store.fault = fault
+
+    @precondition(lambda self: self.fleet.store.delayed)
+    @rule()
+    def apply_delayed(self):
+        self.fleet.store.apply_delayed()
+
+    @rule(vm=st.integers(0, VMS - 1))
+    def restart_after_others_have_read(self, vm):
+        self.fleet.store.fault = ""
+        self.loop.run_until_complete(self.fleet.advance(int(REFRESH_S) + 1))
+        self.fleet.managers[vm] = self.fleet.start(vm)
+
+    @rule(tokens=st.integers(1, 500))
+    def top_up(self, tokens):
+        self.fleet.top_up(tokens)
+
+    @invariant()
+    def never_more_is_spent_or_can_be_than_was_prepaid(self):
+        assert self.fleet.spent + self.fleet.spendable() <= self.fleet.prepaid
+
+
+DrillMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestDrills = DrillMachine.TestCase
+
+
+def run(fleet_test) -> None:
+    asyncio.run(fleet_test(Fleet()))
+
+
+# Guards against tokens that are granted twice because the store has lost the first
+# grant of them.
+def test_grants_lost_by_the_store_are_not_granted_to_another_vm():
+    async def play(fleet):
+        fleet.store.take_copy()
+        await fleet.spend_all(0, 100)
+        spent_before = fleet.spent
+        fleet.store.come_back()
+        await fleet.advance(10)
+        await fleet.spend_all(1, 100)
+        await fleet.spend_all(2, 100)
+        assert spent_before > PREPAID / 2
+        assert fleet.spent <= PREPAID
+
+    run(play)
+
+
+# Guards against calls that are refused although their VM holds tokens for them.
+def test_calls_are_served_from_grants_in_hand_while_budgets_settle():
+    async def play(fleet):
+        await fleet.advance(1)
+        assert await fleet.call(0, 10)
+        fleet.store.take_copy()
+        fleet.store.come_back()
+        assert [await fleet.call(0, 10) for _ in range(5)] == [True] * 5
+        await fleet.advance(1)
+        assert fleet.managers[0].settling_budgets() == 1
+        assert await fleet.call(0, 10)
+
+    run(play)
+
+
+def test_budget_grants_again_after_it_has_settled():
+    async def play(fleet):
+        await fleet.advance(1)
+        fleet.store.take_copy()
+        fleet.store.come_back()
+        await fleet.advance(1)
+        with pytest.raises(UnavailableError, match="settles"):
+            await fleet.managers[0].reserve(BUDGET, 1_000)
+        await fleet.advance(6)
+        assert fleet.managers[0].settling_budgets() == 0
+        assert await fleet.call(0, 900)
+
+    run(play)
+
+
+# Guards against a transaction that was decided on rows of a lost version and passes
+# its check on other rows with the same version.
+def test_transaction_of_an_earlier_era_changes_nothing_when_it_is_committed_late():
+    async def play(fleet):
+        await fleet.advance(1)
+        fleet.store.take_copy()
+        fleet.store.fault = "delayed"
+        await fleet.call(0, 800)
+        fleet.store.come_back()
+        await fleet.advance(6)
+        before = granted_in_era(fleet.store, 2)
+        assert before > 0
+        fleet.store.apply_delayed()
+        assert granted_in_era(fleet.store, 2) == before
+
+    run(play)
+
+
+# Guards against tokens that a VM returned without a confirmation, that another VM was
+# granted, and that the first one counts as its own again in the next era.
+def test_tokens_of_an_unconfirmed_return_are_not_spent_in_a_later_era():
+    async def play(fleet):
+        await fleet.advance(1)
+        fleet.store.take_copy()
+        fleet.store.fault = "lost"
+        await fleet.managers[0].return_all()
+        await fleet.spend_all(1, 50)
+        await fleet.spend_all(2, 50)
+        fleet.store.come_back()
+        await fleet.advance(10)
+        for vm in range(VMS):
+            await fleet.spend_all(vm, 50)
+        assert fleet.spent <= PREPAID
+
+    run(play)
+
+
+def granted_in_era(store, era) -> int:
+    prefix = f"grants/{BUDGET}/e{era}/pot/"
+    rows = [row for key, row in store.rows.items() if key.startswith(prefix)]
+    return sum(msgspec.json.decode(row.value)["tokens"] for row in rows)
+
+
+def test_late_response_of_an_earlier_era_is_dropped():
+    eras = StoreEras(FakeClock())
+    eras.observe(EraMark(4), None)
+    eras.observe(EraMark(5), 4)
+    with pytest.raises(EraChangedError):
+        eras.observe(EraMark(4), 4)
+    assert eras.current == 5
+
+
+def test_invalid_eras_tell_nothing():
+    eras = StoreEras(FakeClock())
+    eras.observe(EraMark(4), None)
+    for mark in (EraMark(None), EraMark(None, "four"), EraMark(3, "3")):
+        eras.observe(mark, eras.current)
+    assert eras.current == 4
+    assert eras.logged_texts == {"", "four", "3"}
+
+
+async def test_call_during_which_the_era_changes_fails():
+    eras = StoreEras(FakeClock())
+    eras.observe(EraMark(1), None)
+
+    async def commit(_checks, _writes):
+        eras.observe(EraMark(2), 1)
+        return SimpleNamespace(committed=True)
+
+    port = guard_eras(PlatformStore(None, None, commit, None, None), eras)
+    with pytest.raises(EraChangedError):
+        await port.commit((), ())
--- a/verbenagrade/coordination/tests/test_table_feed.py
+++ b/verbenagrade/coordination/tests/test_table_feed.py
@@ -126,7 +126,12 @@
         )
         task = asyncio.ensure_future(
             follow_table(
-                store.port(), followed, TableFreshness(loop.time()), loop.time, seed=1
+                store.port(),
+                followed,
+                TableFreshness(loop.time()),
+                loop.time,
+                seed=1,
+                current_era=lambda: None,
             )
         )
         await asyncio.sleep(until)
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -77,6 +77,13 @@
         logbook.INFO,
         "feed replays outdated rows; reading the whole table",
     )
+    STORE_ERA_CHANGED = (
+        513,
+        logbook.WARNING,
+        "store came back from an older copy; reading all tables",
+    )
+    STORE_ERA_INVALID = (514, logbook.WARNING, "era of the store missing or invalid")
+    BUDGET_RESTORED = (515, logbook.INFO, "rows of a budget restored in a new era")
     RESOURCE_ACCEPTED = (502, logbook.INFO, "resource accepted")
 
     @property
--- a/verbenagrade/exceptions.py
+++ b/verbenagrade/exceptions.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "BudgetExhaustedError",
+    "EraChangedError",
     "FencedError",
     "HistoryLostError",
     "InvalidRequestError",
@@ -73,6 +74,10 @@
     """The store no longer has the requested changes; read the whole table."""
 
 
+class EraChangedError(PlatformError):
+    """The store came back from an older copy during the call; read again."""
+
+
 class ResponseDeclinedError(PlatformError):
     """The caller declined a response because of its size; ask for less."""
 
--- a/verbenagrade/metrics/gateway.py
+++ b/verbenagrade/metrics/gateway.py
@@ -19,6 +19,13 @@
             "configuration_version", "Configuration version in use."
         )
         self.endpoints = self.gauge("endpoints", "Registered endpoints.")
+        self.store_era = self.gauge("store_era", "Era of the store, 0 if unknown.")
+        self.budgets_settling = self.gauge(
+            "budgets_settling", "Budgets that grant nothing since the era changed."
+        )
+        self.era_changes = self.counter(
+            "era_changes", "Times that the store came back from an older copy."
+        )
         self.repeats = self.counter("repeats", "Calls retried on another endpoint.")
         self.store_away = self.counter("store_away", "Failed requests to the store.")
         self.superseded_rows = self.counter(
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -12,6 +12,8 @@
     Changes,
     Check,
     CommitResult,
+    EraMark,
+    EraObserver,
     PlatformStore,
     Row,
     Write,
@@ -32,6 +34,9 @@
 """Time allowed for receiving a response once its transfer has started, in seconds.
 A configuration of 4 MB in base64 takes 9 s on a link of 5 Mbit/s."""
 
+ERA_HEADER = "Store-Era"
+"""Header of all responses, which counts how often the store lost recent writes."""
+
 LAST_CODE_POINT = "\U0010ffff"
 MS_PER_S = 1000
 
@@ -104,12 +109,20 @@
 
 
 class StoreClient:
-    """Sends requests to the store over one HTTP session."""
+    """Sends requests to the store over one HTTP session.
+
+    ``eras`` observes the era of each response before its body is read. If it raises an
+    exception, the response is dropped.
+    """
 
     def __init__(
-        self, session: aiohttp.ClientSession, settings: GatewaySettings
+        self,
+        session: aiohttp.ClientSession,
+        settings: GatewaySettings,
+        eras: EraObserver,
     ) -> None:
         self.session = session
+        self.eras = eras
         self.base_url = f"http://{settings.store.address}"
         self.timeout_s = settings.tuning.store_timeout_s
 
@@ -252,6 +265,7 @@
         ``read_timeout_s`` is the maximum time between two reads, in seconds. Raises
         ``PlatformError`` if the request fails or times out.
         """
+        era = self.eras.current()
         try:
             async with self.session.request(
                 method,
@@ -265,6 +279,8 @@
                     sock_read=read_timeout_s,
                 ),
             ) as response:
+                mark = decode_era(response.headers.get(ERA_HEADER, ""))
+                self.eras.observe(mark, era)
                 body = await _read_body(response, accept)
                 return WireResponse(response.status, body)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -275,15 +291,27 @@
 
 
 def store_port(
-    session: aiohttp.ClientSession, settings: GatewaySettings
+    session: aiohttp.ClientSession,
+    settings: GatewaySettings,
+    eras: EraObserver,
 ) -> PlatformStore:
     """Returns the port to the platform's store at the configured address."""
-    client = StoreClient(session, settings)
+    client = StoreClient(session, settings, eras)
     return PlatformStore(
         client.read, client.scan, client.commit, client.load, client.follow
     )
 
 
+def decode_era(text: str) -> EraMark:
+    """Decodes the era of a response.
+
+    >>> decode_era("3"), decode_era("three")
+    (EraMark(era=3, text='3'), EraMark(era=None, text='three'))
+    """
+    valid = text.isascii() and text.isdecimal()
+    return EraMark(int(text) if valid else None, text)
+
+
 async def _read_body(
     response: aiohttp.ClientResponse, accept: AcceptResponse | None
 ) -> bytes:
--- a/verbenagrade/platform/tests/store_standin.py
+++ b/verbenagrade/platform/tests/store_standin.py
@@ -18,7 +18,7 @@
     next ``responses_to_lose`` transactions are lost after the commit. If
     ``unresponsive`` is set, no request gets a response. ``transfer_s`` is the time for
     sending the body of a response that contains rows, in seconds; if ``slow_table``
-    is set, only of that table.
+    is set, only of that table. ``era`` is told in all responses unless it is ``None``.
     """
 
     def __init__(self) -> None:
@@ -31,6 +31,8 @@
         self.responses_to_lose = 0
         self.transfer_s = 0.0
         self.slow_table = ""
+        self.era: object = None
+        self.copy = None
         self.request_count = 0
         self.changed = asyncio.Event()
         self.runner: web.AppRunner | None = None
@@ -65,6 +67,28 @@
         self._write((table, part, key), None)
         self._notify_followers()
 
+    def take_copy(self) -> None:
+        self.copy = (dict(self.rows), list(self.change_log), self.version)
+
+    def come_back_from_copy(self) -> list[dict]:
+        """Loses what was written since the copy; its versions are given out again.
+
+        Returns the lost changes.
+        """
+        rows, change_log, self.version = self.copy
+        lost = [row for row in self.change_log if row["ver"] > self.version]
+        self.rows, self.change_log = dict(rows), list(change_log)
+        self.era += 1
+        return lost
+
+    def write_again(self, lost: list[dict], tables: tuple[str, ...]) -> None:
+        """Makes the lost changes of some tables once more, in their order."""
+        for row in lost:
+            if row["table"] in tables:
+                self.version += 1
+                self._write((row["table"], row["part"], row["key"]), row.get("value"))
+        self._notify_followers()
+
     def forget_history(self) -> None:
         self.oldest_version = self.version
 
@@ -90,6 +114,8 @@
         if self.status:
             return web.Response(status=self.status)
         response = await handler(request)
+        if self.era is not None and not response.prepared:
+            response.headers["Store-Era"] = str(self.era)
         if self.responses_to_lose and request.path == "/rows-tx":
             self.responses_to_lose -= 1
             request.transport.close()
@@ -133,7 +159,7 @@
 
     async def _feed(self, request):
         table, after = request.query["table"], int(request.query["after_revision"])
-        if after < self.oldest_version:
+        if after < self.oldest_version or after > self.version:
             return _json_response({}, 410)
         wait_s = int(request.query["wait_ms"]) / 1000
         try:
--- a/verbenagrade/platform/tests/test_prepaid.py
+++ b/verbenagrade/platform/tests/test_prepaid.py
@@ -7,6 +7,7 @@
 
 from verbenagrade.coordination.allowances import AllowanceManager
 from verbenagrade.coordination.ports import CommitResult, PlatformStore, Row
+from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.exceptions import (
     BudgetExhaustedError,
     PlatformError,
@@ -96,7 +97,7 @@
 
 def make_allowance_manager(table, clock, vm="vm-1", incarnation="one", prepaid=1000):
     allowance_manager = AllowanceManager(
-        table.port(), vm, incarnation, TuningSettings(), clock
+        table.port(), vm, incarnation, TuningSettings(), clock, StoreEras(clock)
     )
     allowance_manager.set_prepaid("hotel", prepaid)
     return allowance_manager
--- a/verbenagrade/settings/gateway.py
+++ b/verbenagrade/settings/gateway.py
@@ -103,6 +103,14 @@
             " in seconds."
         ),
     ] = 25.0
+    era_settle_s: Annotated[
+        Seconds,
+        Meta(
+            description="Time after the store came back from an older copy during which"
+            " no tokens are granted, so that each VM can restore its grants, in"
+            " seconds."
+        ),
+    ] = 4.0
     log_lines_per_s: Annotated[
         Count,
         Meta(
--- a/verbenagrade/state/directory.py
+++ b/verbenagrade/state/directory.py
@@ -11,6 +11,9 @@
 
 __all__ = ["DirectoryChange", "EndpointDirectory", "EndpointEntry"]
 
+MAX_ENDED = 4_096
+"""Largest number of ended incarnations remembered, one for each name."""
+
 REREGISTRATION_S = 2.0
 """Time after an outage of the store within which running endpoints register again,
 in seconds. The platform guarantees this time."""
@@ -55,6 +58,7 @@
         self.entries: dict[str, EndpointEntry] = {}
         self.missing_until: dict[str, float] = {}
         self.outage_ended = float("-inf")
+        self.ended_starts_ms: dict[str, int] = {}
 
     def put(self, entry: EndpointEntry) -> DirectoryChange:
         """Adds or replaces an endpoint's entry.
@@ -92,6 +96,23 @@
             self.remove(name, now)
         return DirectoryChange(tuple(ended))
 
+    def restore(self, entries: Iterable[EndpointEntry], now: float) -> DirectoryChange:
+        """Applies a complete list of a store that came back from an older copy.
+
+        What is known to be newer stays: an incarnation that was leaving goes on
+        leaving, and one that has ended is not listed again. Both change only when
+        the endpoint writes its entry once more.
+        """
+        return self.replace(filter(None, map(self._newest_known, entries)), now)
+
+    def _newest_known(self, entry: EndpointEntry) -> EndpointEntry | None:
+        known = self.entries.get(entry.name)
+        if known is None:
+            ended = self.ended_starts_ms.get(entry.name) == entry.started_ms
+            return None if ended else entry
+        same_incarnation = known.started_ms == entry.started_ms
+        return known if same_incarnation and known.leaving else entry
+
     def store_returned(self, now: float) -> None:
         """Records that the store is available again after an outage."""
         self.outage_ended = now
@@ -117,6 +138,12 @@
     def _drop(self, names: Iterable[str]) -> DirectoryChange:
         dropped = tuple(names)
         for name in dropped:
-            self.entries.pop(name, None)
+            entry = self.entries.pop(name, None)
+            if entry is not None:
+                self.ended_starts_ms.pop(name, None)
+                self.ended_starts_ms[name] = entry.started_ms
+        while len(self.ended_starts_ms) > MAX_ENDED:
+            self.ended_starts_ms.pop(next(iter(self.ended_starts_ms)))
+        for name in dropped:
             self.missing_until.pop(name, None)
         return DirectoryChange(dropped)
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -8,6 +8,7 @@
 
 from verbenagrade.coordination.allowances import AllowanceManager
 from verbenagrade.coordination.gateway_fleet import GatewayFleet
+from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.coordination.table_feed import TableFreshness
 from verbenagrade.metrics.gateway import GatewayMetrics
 from verbenagrade.protocol.calls import CallFormat
@@ -38,6 +39,7 @@
         directory: EndpointDirectory,
         clock: Callable[[], float],
         seed: int,
+        eras: StoreEras,
     ) -> None:
         self.settings = settings
         self.call_format = call_format
@@ -47,6 +49,7 @@
         self.placement = placement
         self.directory = directory
         self.clock = clock
+        self.eras = eras
         self.random = random.Random(seed)
         self.route_index: RouteIndex | None = None
         self.configuration_freshness = TableFreshness(clock())
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -14,7 +14,8 @@
     apply_configuration,
     apply_endpoints,
 )
-from verbenagrade.coordination.ports import Changes, PlatformStore
+from verbenagrade.coordination.ports import Changes, EraObserver, PlatformStore
+from verbenagrade.coordination.store_eras import StoreEras, guard_eras
 from verbenagrade.coordination.table_feed import (
     FollowedTable,
     TableResponse,
@@ -74,7 +75,9 @@
 
     calls: CallFormat
     documents: DocumentFormat
-    store: Callable[[aiohttp.ClientSession, GatewaySettings], PlatformStore]
+    store: Callable[
+        [aiohttp.ClientSession, GatewaySettings, EraObserver], PlatformStore
+    ]
 
 
 class Gateway:
@@ -88,16 +91,19 @@
         incarnation = f"{settings.vm}-{seed:x}"
         self.store_session = store_session()
         self.endpoint_session = endpoint_session()
-        self.table = adapter.store(self.store_session, settings)
+        eras = StoreEras(self.clock)
+        eras.on_change = self._enter_era
+        store = adapter.store(self.store_session, settings, eras.observer())
+        self.table = guard_eras(store, eras)
         bounds = settings.bounds
         self.core = GatewayCore(
             settings=settings,
             call_format=adapter.calls,
             session=self.endpoint_session,
             allowance_manager=AllowanceManager(
-                self.table, settings.vm, incarnation, settings.tuning, self.clock
+                self.table, settings.vm, incarnation, settings.tuning, self.clock, eras
             ),
-            fleet=GatewayFleet(self.table, settings.vm, incarnation),
+            fleet=GatewayFleet(self.table, settings.vm, incarnation, eras),
             placement=PlacementTable(
                 VmLocation(settings.data_centre, settings.regions), seed
             ),
@@ -106,6 +112,7 @@
             ),
             clock=self.clock,
             seed=seed,
+            eras=eras,
         )
         self.runners: list[web.ServerRunner] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -159,6 +166,9 @@
         core = self.core
         core.metrics.in_flight.set({}, core.in_flight)
         core.metrics.endpoints.set({}, len(core.directory.entries))
+        core.metrics.store_era.set({}, core.eras.number)
+        settling = core.allowance_manager.settling_budgets()
+        core.metrics.budgets_settling.set({}, settling)
         version = core.route_index.configuration.version if core.route_index else 0
         core.metrics.configuration_version.set({}, version)
         accepts = tuple(request.headers.getall("Accept", []))
@@ -204,6 +214,7 @@
                     freshness_trackers[number],
                     self.clock,
                     self.seed + number,
+                    lambda: core.eras.current,
                 )
             )
         self._start_task(self._expire_endpoints())
@@ -237,6 +248,11 @@
         """Gives expired entries time to reappear after an outage of the store."""
         self.core.directory.store_returned(self.clock())
 
+    def _enter_era(self) -> None:
+        """Moves the budgets on after the store came back from an older copy."""
+        self.core.metrics.era_changes.inc({})
+        self.core.allowance_manager.enter_era()
+
     def _apply_fleet(self, changes: Changes) -> None:
         """Applies changes that other gateways wrote to the fleet table."""
         self.core.fleet.apply(changes)
@@ -264,6 +280,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S * core.random.uniform(0.8, 1.2))
             try:
                 await core.fleet.announce()
+                await core.fleet.write_reports()
             except PlatformError as error:
                 log_event(Event.PLATFORM_AWAY, table=FLEET_TABLE, reason=str(error))
                 continue
