Let releases of the same witnessed attempt overlap

A background task ended with KeyError when two releases of settled attempts ran at the same time: the second one looked the attempt up after the first had removed it. Found by reading.

--- a/verbenagrade/coordination/witnesses.py
+++ b/verbenagrade/coordination/witnesses.py
@@ -108,11 +108,12 @@
 
     def _remove_witness(self, attempt: str, member: MemberVm) -> None:
         """Removes a VM from the witnesses of an attempt."""
-        left = tuple(m for m in self.witnesses_of[attempt] if m != member)
+        known = self.witnesses_of.get(attempt, ())
+        left = tuple(m for m in known if m != member)
         if left:
             self.witnesses_of[attempt] = left
         else:
-            del self.witnesses_of[attempt]
+            self.witnesses_of.pop(attempt, None)
 
     def _end_message(self, attempts: list[str]) -> Witness:
         """Returns the message that attempts are settled."""
