Don't record a forgotten attempt again

A retry with an idempotency key could be taken for an attempt of which nothing ran: a message that arrived after the attempt was forgotten recorded it once more. The callers were asked not to; now the table checks it itself. Found by reading. The new test fails without the change.

--- a/verbenagrade/state/attempts.py
+++ b/verbenagrade/state/attempts.py
@@ -14,7 +14,7 @@
 
     Both the spender and the holder record an attempt, so that a retry finds it at
     either of them. ``forgotten`` has the attempts that were removed with
-    ``forget``; callers must not record these again.
+    ``forget``; they are not recorded again.
     """
 
     def __init__(self) -> None:
@@ -22,8 +22,11 @@
         self.forgotten: OrderedDict[str, None] = OrderedDict()
 
     def record(self, workspace: str, key: str, attempt: Earlier) -> None:
-        """Records the attempt of a key; does nothing if the key is empty."""
-        if not key:
+        """Records the attempt of a key.
+
+        Does nothing if the key is empty or the attempt was forgotten.
+        """
+        if not key or attempt.attempt in self.forgotten:
             return
         self.by_key[workspace, key] = attempt
         self.by_key.move_to_end((workspace, key))
