Release set-aside tokens of an unknown budget, keep awaited grants

Two faults of a holder's grants, found by reading. After the table did not know a budget, the tokens that were set aside for a return could not be reserved until the next adjustment, and requests were refused though the grant had tokens. And an empty grant was dropped while a request waited for it, which then failed with KeyError. The three new tests fail without the change.

--- a/verbenagrade/coordination/grants.py
+++ b/verbenagrade/coordination/grants.py
@@ -1,6 +1,7 @@
 """The grants that an instance holds, and their adjustment in the table service."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from verbenagrade.coordination.budget_table import adjust_grant
@@ -68,6 +69,7 @@
         self.change_events: dict[GrantId, asyncio.Event] = {}
         self.retry_at: dict[GrantId, float] = {}
         self.last_denial: dict[GrantId, Denial] = {}
+        self.waiting: Counter[GrantId] = Counter()
         self.recovered: set[GrantId] = set()
         self.recently_used: set[GrantId] = set()
         self.sweep_queue: list[GrantId] = []
@@ -138,13 +140,23 @@
         return [self.held_grants[grant] for grant in due if grant in self.held_grants]
 
     def _can_forget(self, held_grant: HeldGrant, now: float) -> bool:
-        """Returns whether a grant is empty and has had no demand for long."""
+        """Returns whether a grant is empty, unused and has had no demand for long."""
         if held_grant.amount or held_grant.open or held_grant.pending is not None:
             return False
+        grant = held_grant.grant
+        if self.waiting[grant] or self.locks[grant].locked():
+            return False
         return now - held_grant.demand.updated_at > FORGET_IDLE_S
 
     def _forget(self, grant: GrantId) -> None:
-        for state in (self.locks, self.change_events, self.retry_at, self.last_denial):
+        states = (
+            self.locks,
+            self.change_events,
+            self.retry_at,
+            self.last_denial,
+            self.waiting,
+        )
+        for state in states:
             state.pop(grant, None)
         self.recovered.discard(grant)
         del self.held_grants[grant]
@@ -242,7 +254,7 @@
             log_event(Event.GRANT_DELAYED, grant=grant.key, reason=str(error))
             return self._deny(grant, Denial.PLATFORM_AWAY, PLATFORM_RETRY_S)
         except NotFoundError:
-            held_grant.pending = None
+            held_grant.cancel_adjustment()
             return self._deny(grant, Denial.UNKNOWN_BUDGET, TABLE_RETRY_S)
         held_grant.finish_adjustment(after)
         self._log_adjusted(held_grant, after.budget)
@@ -312,8 +324,11 @@
         """Waits until a grant changes, for at most ``left_s`` seconds."""
         changed = self.change_events[grant]
         changed.clear()
+        self.waiting[grant] += 1
         try:
             async with asyncio.timeout(min(left_s, TABLE_RETRY_S)):
                 await changed.wait()
         except TimeoutError:
             return
+        finally:
+            self.waiting[grant] -= 1
--- a/verbenagrade/coordination/tests/test_grants.py
+++ b/verbenagrade/coordination/tests/test_grants.py
@@ -1,5 +1,6 @@
 """Tests of the rules for obtaining, returning and marking grants in the table."""
 
+import asyncio
 from dataclasses import replace
 
 from verbenagrade.coordination import (
@@ -95,3 +96,39 @@
     assert held_grant.amount == 0
     await harness.holder.reserve(make_reserve_order("b", 100, 100))
     assert not held_grant.solo
+
+
+# Guards against tokens that can't be reserved until the next adjustment because the
+# table did not know their budget for a moment.
+async def test_tokens_can_be_reserved_after_the_budget_was_not_found():
+    harness = await GrantHarness().create_budget()
+    first = await harness.holder.reserve(make_reserve_order("a", 100, 100))
+    assert isinstance(first, Reserved)
+    grants = harness.holder.grants
+    held_grant = grants.held_grants[GRANT]
+    unreserved = held_grant.unreserved
+    grants.table = harness.new_holder(OWN).grants.table
+    grants.table = replace(grants.table, read=budget_not_found)
+    grants.stopping = True
+    await grants.adjust(held_grant, need=0)
+    assert held_grant.unreserved == unreserved > 0
+
+
+async def budget_not_found(keys):
+    return tuple(None for _ in keys)
+
+
+# Guards against a request that fails because the empty grant it waits for was dropped.
+async def test_empty_grant_is_kept_while_a_request_waits_for_it():
+    harness = await GrantHarness().create_budget()
+    harness.now = 10_000.0
+    grants = harness.holder.grants
+    held_grant = grants.held_grant(GRANT)
+    waiting = asyncio.create_task(grants.wait_for_change(GRANT, 5.0))
+    await asyncio.sleep(0)
+    await grants.rebalance()
+    assert grants.held_grants[GRANT] is held_grant
+    grants.notify(GRANT)
+    await asyncio.wait_for(waiting, 1.0)
+    await grants.rebalance()
+    assert GRANT not in grants.held_grants
--- a/verbenagrade/state/held_grant.py
+++ b/verbenagrade/state/held_grant.py
@@ -234,6 +234,11 @@
             self.operation = 0
             self.solo = self.wants_solo = False
 
+    def cancel_adjustment(self) -> None:
+        """Ends the adjustment in ``pending``, which certainly changed nothing."""
+        self.pending = None
+        self.returning = 0
+
     def mark_durable(self, tokens: int) -> None:
         """Records that bills for this number of tokens are durable."""
         self.durable_spent += tokens
--- a/verbenagrade/state/tests/test_held_grant.py
+++ b/verbenagrade/state/tests/test_held_grant.py
@@ -67,3 +67,12 @@
 def test_reservation_gets_all_unreserved_tokens_if_they_reach_its_minimum():
     held_grant = make_held_grant(100)
     assert held_grant.reserve(make_reserve_order("a", 400, 60), 0.0).tokens == 100
+
+
+# Guards against tokens that stay set aside for a return that never reached a budget.
+def test_cancelled_adjustment_sets_no_tokens_aside():
+    held_grant = make_held_grant(100)
+    held_grant.begin_adjustment(0, 0, "j", 0)
+    assert held_grant.unreserved == 0
+    held_grant.cancel_adjustment()
+    assert (held_grant.unreserved, held_grant.pending) == (100, None)
