Report a lost response only while its transaction may be committed

After a lost response and later conflicts an operator was told that the outcome is unknown, although the row that the lost transaction checked had changed and did not have it: it could not take effect any more. The outcome is known then, and the conflict is reported; only if nothing has changed since is it unknown. Found by reading. One of the new tests fails without the change, the other pins the reverse.

--- a/verbenagrade/coordination/commits.py
+++ b/verbenagrade/coordination/commits.py
@@ -41,22 +41,27 @@
     """Reads rows, decides and writes until the decision has taken effect.
 
     Raises ``PlatformError`` if the table is unavailable, or if other writers change
-    the rows during every attempt. The same decision can be retried later.
+    the rows during every attempt. The same decision can be retried later. The error
+    of a lost response is raised only if its transaction may still be committed: as
+    no version is used twice, it can't be once a row that it checked has changed.
     """
-    last_error: PlatformError | None = None
+    lost_checks: tuple[Check, ...] = ()
+    lost_error: PlatformError | None = None
     for attempt in range(MAX_COMMIT_ATTEMPTS):
         rows = await table.read(keys)
         decision = decide(rows)
         if not decision.writes:
             return decision.result
         checks = tuple(map(_version_check, keys, rows))
+        if checks != lost_checks:
+            lost_error = None
         try:
             if await table.transact(checks, decision.writes):
                 return decision.result
         except PlatformError as error:
-            last_error = error
+            lost_checks, lost_error = checks, error
         await asyncio.sleep(CONFLICT_BACKOFF_S * attempt)
-    raise last_error or PlatformError(
+    raise lost_error or PlatformError(
         f"{keys[0]}: too many conflicting updates of the row; retry in a few seconds"
     )
 
