Fail calls on a peer connection at once if a frame can't be decoded

Requests waited for their timeout, 1 s or more, after another reply on the same connection could not be decoded: the reader task ended with the error and left the pending calls alone. Now the connection ends, its calls fail at once and may be sent again, event 404 names the VM, and a gauge counts such frames.

--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -55,6 +55,7 @@
     RECOVERY_FINISHED = (322, logbook.INFO, "recovery of a lost holder finished")
     PEER_UNREACHABLE = (400, logbook.WARNING, "instance unreachable")
     PEER_REPLACED = (401, logbook.INFO, "newer incarnation of an instance detected")
+    PEER_FRAME_INVALID = (404, logbook.WARNING, "undecodable frame from an instance")
     VM_LISTED = (402, logbook.INFO, "VM added to the list")
     VM_DELISTED = (403, logbook.INFO, "VM removed from the list")
     CONFIGURATION_APPLIED = (500, logbook.INFO, "configuration revision applied")
--- a/verbenagrade/metrics/router.py
+++ b/verbenagrade/metrics/router.py
@@ -15,6 +15,10 @@
             "unsettled_bills",
             "Attempts that are running or whose bill is not durable yet.",
         )
+        self.undecodable_frames = self.gauge(
+            "undecodable_frames",
+            "Frames from other instances that could not be decoded, since the start.",
+        )
         self.revision = self.gauge("revision", "Configuration revision in use.")
         self.table_operations = self.gauge(
             "table_operations", "Table operations since the start."
--- a/verbenagrade/transport/caller_api.py
+++ b/verbenagrade/transport/caller_api.py
@@ -42,6 +42,7 @@
     granted_tokens: int
     reserved_tokens: int
     table_operations: int
+    undecodable_frames: int
     suspected_vms: tuple[str, ...]
 
 
@@ -165,6 +166,7 @@
         self.metrics.unsettled_bills.set({}, status.unsettled_attempts)
         self.metrics.revision.set({}, status.revision)
         self.metrics.table_operations.set({}, status.table_operations)
+        self.metrics.undecodable_frames.set({}, status.undecodable_frames)
         accepts = tuple(request.headers.getall("Accept", ()))
         return web.Response(
             body=self.metrics.render(accepts), content_type="text/plain"
--- a/verbenagrade/transport/peer_client.py
+++ b/verbenagrade/transport/peer_client.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 
 import msgspec
 
+from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PeerNoReplyError, PeerUnreachableError
 from verbenagrade.protocol.peer import (
     Hello,
@@ -21,17 +23,23 @@
 
 
 class PeerConnection:
-    """An open connection to another instance, for concurrent calls."""
+    """An open connection to another instance, for concurrent calls.
+
+    ``on_undecodable`` is called if a frame cannot be decoded, which ends the
+    connection.
+    """
 
     def __init__(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         instance: Instance,
+        on_undecodable: Callable[[], None],
     ) -> None:
         self.reader = reader
         self.writer = writer
         self.instance = instance
+        self.on_undecodable = on_undecodable
         self.pending: dict[int, asyncio.Future[Reply]] = {}
         self.next_correlation = 0
         self.reader_task = asyncio.create_task(self._read())
@@ -60,13 +68,20 @@
         self._fail_pending()
 
     async def _read(self) -> None:
-        while (data := await read_frame(self.reader)) is not None:
-            frame = decode_frame(data)
-            future = self.pending.get(frame.correlation)
-            if future is not None and not future.done():
-                future.set_result(decode_body(frame))
-        self.writer.close()
-        self._fail_pending()
+        """Passes replies to the calls that wait for them, until the connection ends."""
+        try:
+            while (data := await read_frame(self.reader)) is not None:
+                frame = decode_frame(data)
+                reply = decode_body(frame)
+                future = self.pending.get(frame.correlation)
+                if future is not None and not future.done():
+                    future.set_result(reply)
+        except (msgspec.DecodeError, PeerNoReplyError) as error:
+            self.on_undecodable()
+            log_event(Event.PEER_FRAME_INVALID, vm=self.instance.vm, reason=str(error))
+        finally:
+            self.writer.close()
+            self._fail_pending()
 
     def _fail_pending(self) -> None:
         for future in self.pending.values():
@@ -92,6 +107,7 @@
         self.timeout_s = timeout_s
         self.connections: dict[str, PeerConnection] = {}
         self.connecting: dict[str, asyncio.Lock] = {}
+        self.undecodable_frames = 0
 
     async def call(self, member: MemberVm, message: Message) -> Reply:
         """Calls the instance on a VM.
@@ -149,7 +165,12 @@
             writer.close()
             raise
         self.members.record_instance(peer_hello.instance)
-        return PeerConnection(reader, writer, peer_hello.instance)
+        return PeerConnection(
+            reader, writer, peer_hello.instance, self._count_undecodable
+        )
+
+    def _count_undecodable(self) -> None:
+        self.undecodable_frames += 1
 
     def _drop(self, vm: str, connection: PeerConnection) -> None:
         if self.connections.get(vm) is connection:
--- a/verbenagrade/transport/router.py
+++ b/verbenagrade/transport/router.py
@@ -118,6 +118,7 @@
             granted_tokens=sum(held_grant.amount for held_grant in held_grants),
             reserved_tokens=sum(held_grant.reserved for held_grant in held_grants),
             table_operations=self.fleet.holder.grants.table_operations,
+            undecodable_frames=self.peers.undecodable_frames,
             suspected_vms=tuple(vm for vm, until in suspects if until > now),
         )
 
