Make counters and events say what they count

On-call read 0 failed requests to the store during outages, since nothing counted them; 104, a second signal, for grants that were not returned in time; and bills where attempts were counted. Now each failed call of the store's port counts, grants that were not returned are event 107, and the gauge has its true name. Found by reading. The new test of the counter fails without the change.

--- a/verbenagrade/coordination/store_eras.py
+++ b/verbenagrade/coordination/store_eras.py
@@ -6,8 +6,7 @@
 as a position in a feed, in another.
 """
 
-from collections.abc import Awaitable, Callable
-from typing import ParamSpec, TypeVar
+from collections.abc import Callable
 
 from verbenagrade.coordination.ports import (
     Clock,
@@ -15,14 +14,12 @@
     EraObserver,
     PlatformStore,
 )
+from verbenagrade.coordination.store_calls import Arguments, Call, Result, wrap_calls
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import EraChangedError
 
 __all__ = ["StoreEras", "guard_eras"]
 
-Arguments = ParamSpec("Arguments")
-Result = TypeVar("Result")
-
 
 class StoreEras:
     """The newest era that a response of the store has shown.
@@ -89,9 +86,7 @@
     transaction was committed is unknown.
     """
 
-    def guard(
-        call: Callable[Arguments, Awaitable[Result]],
-    ) -> Callable[Arguments, Awaitable[Result]]:
+    def guard(call: Call) -> Call:
         """Returns the call with a check of the era after it."""
 
         async def guarded(*args: Arguments.args, **kwargs: Arguments.kwargs) -> Result:
@@ -106,13 +101,7 @@
 
         return guarded
 
-    return PlatformStore(
-        guard(store.read),
-        guard(store.scan),
-        guard(store.commit),
-        guard(store.load),
-        guard(store.follow),
-    )
+    return wrap_calls(store, guard)
 
 
 def _no_action() -> None:
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -20,6 +20,11 @@
         logbook.WARNING,
         "second signal received; shutting down immediately",
     )
+    GRANTS_NOT_RETURNED = (
+        107,
+        logbook.WARNING,
+        "grants not returned in time at the shutdown",
+    )
     PROCESS_FAILED = (105, logbook.ERROR, "background task failed")
     ENDPOINT_CHOSEN = (200, logbook.INFO, "endpoint chosen")
     ENDPOINT_UNREACHABLE = (201, logbook.WARNING, "endpoint unreachable")
--- a/verbenagrade/metrics/gateway.py
+++ b/verbenagrade/metrics/gateway.py
@@ -27,7 +27,9 @@
             "era_changes", "Times that the store came back from an older copy."
         )
         self.repeats = self.counter("repeats", "Calls retried on another endpoint.")
-        self.store_away = self.counter("store_away", "Failed requests to the store.")
+        self.store_away = self.counter(
+            "store_away", "Requests to the store without a response."
+        )
         self.superseded_rows = self.counter(
             "superseded_rows", "Received rows that were outdated on arrival, by table."
         )
--- a/verbenagrade/metrics/router.py
+++ b/verbenagrade/metrics/router.py
@@ -11,8 +11,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.in_flight = self.gauge("in_flight", "Requests being served.")
-        self.unsettled_bills = self.gauge(
-            "unsettled_bills",
+        self.unsettled_attempts = self.gauge(
+            "unsettled_attempts",
             "Attempts that are running or whose bill is not durable yet.",
         )
         self.undecodable_frames = self.gauge(
--- a/verbenagrade/platform/tests/test_following.py
+++ b/verbenagrade/platform/tests/test_following.py
@@ -217,3 +217,13 @@
         )
     assert 0 < idle + interval * probes < 4
     assert 0 < unacknowledged_ms < 4000
+
+
+# Guards against a counter that stays 0 while the store does not respond.
+async def test_failed_requests_to_the_store_are_counted(testbed):
+    await testbed.start(configuration_document(1))
+    metrics = testbed.core.metrics
+    await testbed.wait_until(lambda: testbed.core.ready)
+    testbed.store.status = 503
+    await testbed.wait_until(lambda: testbed.core.configuration_freshness.unavailable)
+    assert metrics.store_away.get({}) >= 1
--- a/verbenagrade/transport/caller_api.py
+++ b/verbenagrade/transport/caller_api.py
@@ -163,7 +163,7 @@
     async def _handle_metrics(self, request: web.Request) -> web.Response:
         status = self.status()
         self.metrics.in_flight.set({}, status.in_flight)
-        self.metrics.unsettled_bills.set({}, status.unsettled_attempts)
+        self.metrics.unsettled_attempts.set({}, status.unsettled_attempts)
         self.metrics.revision.set({}, status.revision)
         self.metrics.table_operations.set({}, status.table_operations)
         self.metrics.undecodable_frames.set({}, status.undecodable_frames)
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -15,6 +15,7 @@
     apply_endpoints,
 )
 from verbenagrade.coordination.ports import Changes, EraObserver, PlatformStore
+from verbenagrade.coordination.store_calls import count_failures
 from verbenagrade.coordination.store_eras import StoreEras, guard_eras
 from verbenagrade.coordination.table_feed import (
     FollowedTable,
@@ -94,7 +95,7 @@
         eras = StoreEras(self.clock)
         eras.on_change = self._enter_era
         store = adapter.store(self.store_session, settings, eras.observer())
-        self.table = guard_eras(store, eras)
+        self.table = guard_eras(count_failures(store, self._count_failure), eras)
         bounds = settings.bounds
         self.core = GatewayCore(
             settings=settings,
@@ -248,6 +249,9 @@
         """Gives expired entries time to reappear after an outage of the store."""
         self.core.directory.store_returned(self.clock())
 
+    def _count_failure(self) -> None:
+        self.core.metrics.store_away.inc({})
+
     def _enter_era(self) -> None:
         """Moves the budgets on after the store came back from an older copy."""
         self.core.metrics.era_changes.inc({})
@@ -302,7 +306,7 @@
                 await core.allowance_manager.return_all()
                 await core.fleet.withdraw()
         except TimeoutError:
-            log_event(Event.SHUTDOWN_FORCED, waits_for="the return of grants")
+            log_event(Event.GRANTS_NOT_RETURNED, timeout_s=GRANT_RETURN_TIMEOUT_S)
         await self._wait_until_idle(deadline)
         log_event(Event.PROCESS_STOPPED, in_flight=core.in_flight)
         await self.endpoint_session.close()
