Don't take an endpoint for fast because it fails fast

Calls were drawn to endpoints that take no connection or refuse as full: the millisecond until the failure counted as the time of a response, for the endpoint and for the average of its service, by which all others are judged and after which slow attempts are handed over. Found by reading.

A call that failed without a response only tells that a response would have taken longer than it waited, so its time now counts only if it is longer than what is known. The new test fails without the change (0.09 s expected where responses take 0.2 s).

--- a/verbenagrade/state/endpoint_stats.py
+++ b/verbenagrade/state/endpoint_stats.py
@@ -40,6 +40,10 @@
     work: float
     work_ahead: float
 
+    def unit_time_s(self, now: float) -> float:
+        """Returns the time since it was sent, per unit of work, in seconds."""
+        return (now - self.sent_at) / (self.work + self.work_ahead)
+
 
 class EndpointStats:
     """The statistics of one incarnation of an endpoint.
--- a/verbenagrade/state/placement.py
+++ b/verbenagrade/state/placement.py
@@ -209,20 +209,30 @@
     ) -> None:
         """Records the end of a call, and whether the endpoint failed.
 
-        If a call failed without a response, its waiting time is counted as if a
-        response had arrived now.
+        If a call failed without a response, a response would have taken longer than
+        it waited. The waiting time is therefore counted only if it is longer than
+        what is known of the endpoint or its service.
         """
         stats = self.stats(entry.name)
         stats.in_flight = max(0, stats.in_flight - 1)
         call = stats.waiting.pop(call_id, None)
-        if call is not None and failed:
+        if call is not None and failed and self._exceeds_known_time(entry, call, now):
             self._record_unit_time(entry, call, now)
         stats.failure_rate = _smooth(stats.failure_rate, 1.0 if failed else 0.0)
 
+    def _exceeds_known_time(
+        self, entry: EndpointEntry, call: WaitingCall, now: float
+    ) -> bool:
+        """Returns whether a call waited longer than a response usually takes."""
+        known_s = self.stats(entry.name).unit_time_s
+        if known_s is None:
+            known_s = self.service_unit_times_s.get(entry.service)
+        return known_s is not None and call.unit_time_s(now) > known_s
+
     def _record_unit_time(
         self, entry: EndpointEntry, call: WaitingCall, now: float
     ) -> None:
-        unit_time_s = (now - call.sent_at) / (call.work + call.work_ahead)
+        unit_time_s = call.unit_time_s(now)
         stats = self.stats(entry.name)
         stats.unit_time_s = (
             unit_time_s
--- a/verbenagrade/state/tests/test_placement.py
+++ b/verbenagrade/state/tests/test_placement.py
@@ -139,3 +139,34 @@
     assert placement.stats("e0").uncached_tokens(shape.prompt[:-1]) == 0
     placement.forget(("e0",))
     assert placement.stats("e0").uncached_tokens(shape.prompt[:-1]) == 4000
+
+
+# Guards against an endpoint that draws calls because its failures are fast: no
+# connection, or a refusal as full, takes less time than any response.
+def test_endpoint_that_fails_fast_does_not_look_fast():
+    table = make_table()
+    healthy, failing = endpoint("healthy"), endpoint("failing")
+    for number in range(10):
+        now = float(number)
+        table.sent(healthy, f"h{number}", CallShape(), now)
+        table.answered(healthy, f"h{number}", CallShape(), now + 0.2)
+        table.ended(healthy, f"h{number}", failed=False, now=now + 0.2)
+        table.sent(failing, f"f{number}", CallShape(), now)
+        table.ended(failing, f"f{number}", failed=True, now=now + 0.001)
+    assert table.expected_first_response_s(healthy, CallShape()) > 0.19
+    shape = CallShape()
+    entries = [healthy, failing]
+    chosen = [table.choose(entries, (), shape, 20.0).endpoint for _ in range(20)]
+    assert set(chosen) == {healthy}
+    failing_stats = table.stats("failing")
+    assert failing_stats.unit_time_s is None
+
+
+def test_call_that_waited_long_without_a_response_makes_its_endpoint_look_slow():
+    table = make_table()
+    healthy, silent = endpoint("healthy"), endpoint("silent")
+    table.sent(healthy, "h", CallShape(), 0.0)
+    table.answered(healthy, "h", CallShape(), 0.1)
+    table.sent(silent, "s", CallShape(), 0.0)
+    table.ended(silent, "s", failed=True, now=2.0)
+    assert table.stats("silent").unit_time_s > 1.0
