Read all pages of a scan of the store, as of one moment

A process could recover from a part of its rows: the scan of a part stopped after the first 500. Found by reading; today's callers read eight rows at a time. Now all pages are read, 40 at most, and the changes since the first one are applied, so that the result shows one moment.

--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -30,6 +30,9 @@
 HTTP_PRECONDITION_FAILED = 412
 HTTP_GONE = 410
 ROWS_PER_PAGE = 500
+MAX_SCAN_PAGES = 40
+"""Largest number of pages that a scan reads: 20,000 rows."""
+
 TRANSFER_TIMEOUT_S = 12.0
 """Time allowed for receiving a response once its transfer has started, in seconds.
 A configuration of 4 MB in base64 takes 9 s on a link of 5 Mbit/s."""
@@ -133,7 +136,9 @@
     async def scan(self, prefix: str) -> tuple[Row, ...]:
         """Reads the rows of one part whose keys start with a prefix.
 
-        ``prefix`` is ``table/part/key``. At most ``ROWS_PER_PAGE`` rows are returned.
+        ``prefix`` is ``table/part/key``. If there are several pages, changes since
+        the first one are applied to the result, which thus shows a single moment.
+        Raises ``PlatformError`` if there are more than ``MAX_SCAN_PAGES`` pages.
         """
         address = _address(prefix)
         query = {
@@ -143,8 +148,15 @@
             "to": address.key + LAST_CODE_POINT,
             "limit": ROWS_PER_PAGE,
         }
-        page = await self._fetch_rows("rows-get", query, self.timeout_s)
-        return tuple(_decode_row(row) for row in page.content.rows)
+        pages = await self._fetch_pages(query, None, MAX_SCAN_PAGES)
+        found = {row.path(): row for page in pages for row in page.content.rows}
+        if len(pages) > 1:
+            after = pages[0].content.ver
+            for row in await self._changed_rows(address.table, after):
+                found.pop(row.path(), None)
+                if row.path().startswith(prefix) and not row.removed:
+                    found[row.path()] = row
+        return tuple(_decode_row(found[path]) for path in sorted(found))
 
     async def commit(
         self, checks: tuple[Check, ...], writes: tuple[Write, ...]
@@ -172,21 +184,12 @@
         by ``follow`` after that version.
         """
         query = {"table": table, "part": "", "limit": ROWS_PER_PAGE}
-        page = await self._fetch_rows("rows-get", query, self.timeout_s, accept)
-        version = page.content.ver
-        rows = list(page.content.rows)
-        received_bytes = page.received_bytes
-        while page.content.truncated and page.content.rows:
-            last_key = page.content.rows[-1].key
-            query = {**query, "from": last_key}
-            page = await self._fetch_rows("rows-get", query, self.timeout_s)
-            rows += [row for row in page.content.rows if row.key != last_key]
-            received_bytes += page.received_bytes
+        pages = await self._fetch_pages(query, accept)
         return Changes(
-            version,
-            tuple(_decode_row(row) for row in rows),
+            pages[0].content.ver,
+            tuple(_decode_row(row) for page in pages for row in page.content.rows),
             complete=True,
-            received_bytes=received_bytes,
+            received_bytes=sum(page.received_bytes for page in pages),
         )
 
     async def follow(
@@ -216,6 +219,35 @@
             superseded=len(rows) - len(newest),
         )
 
+    async def _fetch_pages(
+        self,
+        query: Query,
+        accept: AcceptResponse | None,
+        max_pages: int | None = None,
+    ) -> list[Page]:
+        """Fetches all pages of a range of rows; ``accept`` takes the first one."""
+        pages = [await self._fetch_rows("rows-get", query, self.timeout_s, accept)]
+        while pages[-1].content.truncated and pages[-1].content.rows:
+            if len(pages) == max_pages:
+                raise PlatformError(
+                    f"rows-get: more than {max_pages} pages in {query['table']};"
+                    " remove rows that are no longer needed"
+                )
+            last_key = pages[-1].content.rows[-1].key
+            query = {**query, "from": last_key}
+            page = await self._fetch_rows("rows-get", query, self.timeout_s)
+            # A page begins with the row that it is asked from.
+            rows = tuple(row for row in page.content.rows if row.key != last_key)
+            content = msgspec.structs.replace(page.content, rows=rows)
+            pages.append(Page(content, page.received_bytes))
+        return pages
+
+    async def _changed_rows(self, table: str, after: int) -> tuple[WireRow, ...]:
+        """Fetches the changes of a table after a version, without waiting for any."""
+        query = {"table": table, "after_revision": after, "wait_ms": 0}
+        page = await self._fetch_rows("rows-feed", query, self.timeout_s)
+        return page.content.rows
+
     async def _read_row(self, path: str) -> Row | None:
         address = _address(path)
         query = {
--- a/verbenagrade/platform/tests/store_standin.py
+++ b/verbenagrade/platform/tests/store_standin.py
@@ -19,6 +19,7 @@
     ``unresponsive`` is set, no request gets a response. ``transfer_s`` is the time for
     sending the body of a response that contains rows, in seconds; if ``slow_table``
     is set, only of that table. ``era`` is told in all responses unless it is ``None``.
+    ``before_second_request`` is called once, when the second request arrives.
     """
 
     def __init__(self) -> None:
@@ -32,6 +33,7 @@
         self.transfer_s = 0.0
         self.slow_table = ""
         self.era: object = None
+        self.before_second_request = None
         self.copy = None
         self.request_count = 0
         self.changed = asyncio.Event()
@@ -109,6 +111,8 @@
     @web.middleware
     async def _inject_faults(self, request, handler):
         self.request_count += 1
+        if self.request_count == 2 and self.before_second_request is not None:
+            self.before_second_request()
         if self.unresponsive:
             await asyncio.sleep(60)
         if self.status:
