Check bills against runs, and the refusal beyond a grant in an outage

Two tests checked less than their names say: accounts agreed although a bill had no run, and calls in an outage were served without a look at what lies beyond the grant. Both are stricter now and pass.

--- a/verbenagrade/platform/tests/test_prepaid.py
+++ b/verbenagrade/platform/tests/test_prepaid.py
@@ -240,12 +240,22 @@
         allowance_manager.settle("hotel", 100, 100)
     await asyncio.gather(*allowance_manager.refills)
     table.unavailable = True
-    served = 0
+    account = allowance_manager.accounts["hotel"]
+    granted, reserved_before = account.own.tokens, account.allowance.reserved
     for _ in range(20):
         clock.now += 0.5
         await allowance_manager.reserve("hotel", 100)
-        served += 1
-    assert served == 20
+    with pytest.raises(UnavailableError):
+        await allowance_manager.reserve("hotel", granted)
+    for _ in range(granted // 100):
+        clock.now += 0.5
+        try:
+            await allowance_manager.reserve("hotel", 100)
+        except UnavailableError:
+            break
+    in_use = account.allowance.spent + account.allowance.reserved
+    assert account.allowance.reserved - reserved_before >= 2_000
+    assert granted - 100 < in_use <= granted
 
 
 async def test_restarted_vm_counts_the_grant_of_its_predecessor_as_spent():
--- a/verbenagrade/tests/test_budget_failures.py
+++ b/verbenagrade/tests/test_budget_failures.py
@@ -19,7 +19,8 @@
 async def accounts_agree(fleet, workspace="crew"):
     """Tells whether every run is billed with the tokens that its engine served.
 
-    Asserts that no attempt is billed twice and that no budget is overspent.
+    Asserts that no attempt is billed twice, that none is billed that no engine ran,
+    and that no budget is overspent.
     """
     bills = await fleet.bills(workspace)
     attempts = [bill["attempt"] for bill in bills]
@@ -28,6 +29,8 @@
     assert row["spent"] + row["committed"] <= row["prepaid"], "overspent"
     served = await fleet.served_tokens()
     billed = {bill["attempt"]: bill["tokens"] for bill in bills}
+    of_engines = {b["attempt"] for b in bills if b["endpoint"].startswith("engine-")}
+    assert {a for a in of_engines if billed[a]} <= set(served), "billed but not run"
     return all(billed.get(attempt) == tokens for attempt, tokens in served.items())
 
 
