Split the store's client, the reader of a table and long functions

No change of behaviour: the formats of the store's client get a module of their own, a table's reader becomes a class that holds its position, and functions that had grown are cut.

--- a/soak/run.py
+++ b/soak/run.py
@@ -45,15 +45,7 @@
     environment.store.era = 1
     await environment.start()
     stop = asyncio.Event()
-    clients = [
-        Client(
-            f"c{seed}-{n}",
-            environment.addresses,
-            environment.checker,
-            random.Random(seed + n),
-        )
-        for n in range(CLIENTS)
-    ]
+    clients = _new_clients(environment, seed)
     try:
         async with asyncio.TaskGroup() as group:
             for client in clients:
@@ -77,3 +69,16 @@
         violations=tuple(checker.violations),
         log_directory=environment.log_directory,
     )
+
+
+def _new_clients(environment: SoakEnvironment, seed: int) -> list[Client]:
+    """Returns the clients of a seed."""
+    return [
+        Client(
+            f"c{seed}-{n}",
+            environment.addresses,
+            environment.checker,
+            random.Random(seed + n),
+        )
+        for n in range(CLIENTS)
+    ]
--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -9,7 +9,7 @@
 from verbenagrade.coordination.ports import Row
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
-from verbenagrade.state.allowance import Allowance
+from verbenagrade.state.allowance import Allowance, BudgetView
 from verbenagrade.state.shards import (
     SHARD_COUNT,
     ShardTransfer,
@@ -184,6 +184,19 @@
         """Tokens known to be spent by all VMs, according to the cached shard rows."""
         return sum(shard.spent for shard in self.shards)
 
+    def view(self, free: int, vms: int) -> BudgetView:
+        """Returns a view of the budget that counts ``free`` tokens here as left."""
+        spent = self.spent + self.allowance.spent - self.own.spent
+        left = self.prepaid - self.granted + free
+        return BudgetView(self.prepaid, left, spent, vms)
+
+    def is_settling(self, settled_at: float, now: float) -> bool:
+        """Returns whether other VMs may still have to restore their grants.
+
+        They have until ``settled_at``. Both times are in seconds.
+        """
+        return self.must_restore or (self.is_restored and now < settled_at)
+
     def shard_key(self, shard: int) -> str:
         """Returns the key of the row of a shard."""
         return f"{self.shards_prefix}{shard}"
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -22,7 +22,6 @@
 )
 from verbenagrade.settings.gateway import TuningSettings
 from verbenagrade.state.allowance import (
-    BudgetView,
     plan_grant,
     target_free_tokens,
 )
@@ -33,12 +32,10 @@
 """Maximum number of transactions for a background refill, which no caller awaits."""
 
 MAX_BACKOFF_S_PER_VM = 0.0005
-"""Maximum delay after a conflict, in seconds per VM of the fleet: a tenth of the
-duration of a transaction."""
+"""Maximum delay after a conflict, in seconds per VM: a tenth of a transaction."""
 
 MAX_TRANSACTIONS_PER_TRANSFER = 8
-"""Maximum number of transactions for one grant or return. Transactions conflict when
-other VMs change the shards concurrently."""
+"""Maximum number of transactions for one grant or return, which may conflict."""
 
 REFUSED_DEMAND_FRACTION = 0.5
 """Fraction of the bound of a refused call that counts as demand, because most
@@ -167,7 +164,7 @@
     async def rebalance(self) -> None:
         """Refreshes stale accounts and returns tokens that exceed this VM's demand."""
         for account in tuple(self.accounts.values()):
-            await self._restore(account)
+            await self.grant_transactions.restore_if_due(account)
             await self._refresh_shards(account)
             unreturned = account.own.tokens - account.allowance.granted
             if account.lock.locked() or unreturned + self._surplus(account) <= 0:
@@ -175,16 +172,6 @@
             async with account.lock:
                 await self._return_tokens(account, self._surplus)
 
-    async def _restore(self, account: BudgetAccount) -> None:
-        """Restores a budget after a change of the store's era."""
-        if not account.must_restore or account.lock.locked():
-            return
-        async with account.lock:
-            try:
-                await self.grant_transactions.refresh(account)
-            except PlatformError as error:
-                log_grant_delayed(account, error)
-
     async def _refresh_shards(self, account: BudgetAccount) -> None:
         """Reads the shards again if they are stale and this VM holds free tokens."""
         period_s = max(REFRESH_INTERVAL_S, REFRESH_INTERVAL_S_PER_VM * self.vm_count)
@@ -231,28 +218,19 @@
                 account.enter_era(self.eras.number)
 
     def settling_budgets(self) -> int:
-        """Returns the number of budgets that grant nothing since the era changed."""
+        """Returns how many budgets grant nothing since the era changed."""
         return sum(map(self._is_settling, self.accounts.values()))
 
     def _is_settling(self, account: BudgetAccount) -> bool:
-        """Returns whether other VMs may still have to restore their grants."""
         settled_at = self.eras.since + self.tuning.era_settle_s
-        return account.must_restore or (
-            account.is_restored and self.clock() < settled_at
-        )
+        return account.is_settling(settled_at, self.clock())
 
     def _tokens_to_keep(self, account: BudgetAccount) -> int:
         """Returns the number of free tokens to keep for expected calls."""
-        budget = self._budget_view(account, max(0, account.allowance.free))
+        budget = account.view(max(0, account.allowance.free), self.vm_count)
         horizon_s = self.tuning.grant_horizon_s
         return target_free_tokens(account.allowance, budget, horizon_s, self.clock())
 
-    def _budget_view(self, account: BudgetAccount, free: int) -> BudgetView:
-        """Returns a view of the budget that counts ``free`` tokens here as left."""
-        spent = account.spent + account.allowance.spent - account.own.spent
-        left = account.prepaid - account.granted + free
-        return BudgetView(account.prepaid, left, spent, self.vm_count)
-
     def _surplus(self, account: BudgetAccount) -> int:
         """Returns the number of free tokens to return, if positive."""
         if account.granted > account.prepaid:
@@ -314,10 +292,8 @@
                 fresh = True
                 continue
             if self._is_settling(account):
-                raise UnavailableError(
-                    f"{account.workspace} settles after the store came back from an"
-                    " older copy; retry in a few seconds"
-                )
+                reason = "settles after the store came back from an older copy"
+                raise UnavailableError(f"{account.workspace} {reason}; retry later")
             need = bound - account.allowance.free
             tokens = self._planned_tokens(account, need)
             if tokens < need:
@@ -339,7 +315,7 @@
 
     def _planned_tokens(self, account: BudgetAccount, need: int) -> int:
         """Returns the number of tokens to obtain if ``need`` more are required."""
-        budget = self._budget_view(account, 0)
+        budget = account.view(0, self.vm_count)
         horizon_s = self.tuning.grant_horizon_s
         plan = plan_grant(account.allowance, need, budget, horizon_s, self.clock())
         return plan.tokens
--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -18,6 +18,7 @@
     apply_confirmed_grant,
     decode_cached_row,
     log_grant_adjusted,
+    log_grant_delayed,
     shards_prefix,
 )
 from verbenagrade.coordination.ports import (
@@ -133,6 +134,19 @@
         apply_confirmed_grant(account)
         account.must_reload = False
 
+    async def restore_if_due(self, account: BudgetAccount) -> None:
+        """Restores a budget after a change of the era, unless it is in use now.
+
+        If the store does not respond, the failure is logged.
+        """
+        if not account.must_restore or account.lock.locked():
+            return
+        async with account.lock:
+            try:
+                await self.refresh(account)
+            except PlatformError as error:
+                log_grant_delayed(account, error)
+
     async def restore(self, account: BudgetAccount) -> None:
         """Writes into this era what is known of the shards in earlier ones.
 
--- a/verbenagrade/coordination/table_feed.py
+++ b/verbenagrade/coordination/table_feed.py
@@ -67,6 +67,15 @@
         if self.response_started_at is None:
             self.response_started_at = now
 
+    def wait_s(self) -> float:
+        """Returns the time from the request to the start of its response, in seconds.
+
+        It is 0 if no response has begun.
+        """
+        if self.response_started_at is None:
+            return 0.0
+        return self.response_started_at - self.requested_at
+
     def transfer_s(self, now: float) -> float:
         """Returns how long the response has been arriving, in seconds."""
         if self.response_started_at is None:
@@ -149,29 +158,79 @@
     on_received: Callable[[TableResponse], None]
 
 
-class FeedPosition:
-    """Up to where a table was read: the version, and the era of the store.
+class TableReader:
+    """Reads a table in full, and then its changes, from one position to the next.
 
-    ``version`` is ``None`` if the whole table has to be read next.
+    ``version`` is the one up to which the table was read, ``None`` if the whole table
+    has to be read next, and ``era`` the era of the store at the last full read.
+    ``current_era`` returns its present era, ``None`` if the store tells none.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        table: PlatformStore,
+        followed: FollowedTable,
+        freshness: TableFreshness,
+        clock: Callable[[], float],
+        current_era: Callable[[], int | None],
+    ) -> None:
+        self.table = table
+        self.followed = followed
+        self.freshness = freshness
+        self.clock = clock
+        self.current_era = current_era
+        self.replays = ReplayDetector()
         self.version: int | None = None
         self.era: int | None = None
 
-    def is_outdated(self, era: int | None) -> bool:
-        """Returns whether the position is one of an earlier era."""
-        return self.era not in (None, era)
+    async def next_changes(self) -> Changes:
+        """Reads the table in full, or waits for changes since the position.
 
-    def advance(self, changes: Changes, era: int | None) -> Changes:
-        """Moves on; marks a complete read after a change of the era as restored."""
+        Raises ``PlatformError`` if there is no response that can be used.
+        """
+        if self._is_outdated():
+            self.version = None
+        self.freshness.record_request(self.clock(), reading_table=self.version is None)
+        changes = await self._request()
         self.version = changes.version
+        self._record_size(changes)
         if not changes.complete:
             return changes
-        restored = self.is_outdated(era)
-        self.era = era
+        restored = self._is_outdated()
+        self.era = self.current_era()
         return replace(changes, restored=restored)
 
+    async def _request(self) -> Changes:
+        name = self.followed.name
+        if self.version is None:
+            return await self.table.load(name, self._accept_table)
+        # A long poll that nothing ends would hide for its whole length that the
+        # store responds again.
+        wait_s = 0.0 if self.freshness.unavailable else self.followed.wait_s
+        return await self.table.follow(name, self.version, wait_s, self._accept_changes)
+
+    def _is_outdated(self) -> bool:
+        """Returns whether the position is one of an earlier era."""
+        return self.era not in (None, self.current_era())
+
+    def _accept_table(self, _size_bytes: int) -> bool:
+        """Records that a response begins to arrive."""
+        self.freshness.record_response_start(self.clock())
+        return True
+
+    def _accept_changes(self, size_bytes: int) -> bool:
+        """Records that a response begins to arrive; declines a replay."""
+        self.freshness.record_response_start(self.clock())
+        return not self.replays.is_replay(size_bytes, self.freshness.wait_s())
+
+    def _record_size(self, changes: Changes) -> None:
+        transfer_s = self.freshness.transfer_s(self.clock())
+        row_bytes = {row.key: len(row.value) for row in changes.rows}
+        if changes.complete:
+            self.replays.record_table(row_bytes, transfer_s)
+        elif row_bytes or changes.removed:
+            self.replays.record_changes(row_bytes, changes.removed, transfer_s)
+
 
 async def follow_table(
     table: PlatformStore,
@@ -188,46 +247,20 @@
     """
     jitter = random.Random(seed)
     backoff_s = MIN_BACKOFF_S
-    position = FeedPosition()
-    replays = ReplayDetector()
-
-    def accept_table(_size_bytes: int) -> bool:
-        """Records that a response begins to arrive."""
-        freshness.record_response_start(clock())
-        return True
-
-    def accept_changes(size_bytes: int) -> bool:
-        """Records that a response begins to arrive; declines a replay."""
-        freshness.record_response_start(clock())
-        wait_s = freshness.response_started_at - freshness.requested_at
-        return not replays.is_replay(size_bytes, wait_s)
-
-    async def next_changes() -> Changes:
-        """Reads the table in full, or waits for changes since the position."""
-        version = None if position.is_outdated(current_era()) else position.version
-        freshness.record_request(clock(), reading_table=version is None)
-        if version is None:
-            return await table.load(followed.name, accept_table)
-        # A long poll that nothing ends would hide for its whole length that the
-        # store responds again.
-        wait_s = 0.0 if freshness.unavailable else followed.wait_s
-        return await table.follow(followed.name, version, wait_s, accept_changes)
-
+    reader = TableReader(table, followed, freshness, clock, current_era)
     while True:
         try:
-            changes = await next_changes()
+            changes = await reader.next_changes()
         except tuple(RESTART_EVENTS) as error:
             event = RESTART_EVENTS[type(error)]
             log_event(event, table=followed.name, reason=str(error))
-            position.version = None
+            reader.version = None
             continue
         except PlatformError as error:
             _handle_failure(freshness, followed, error)
             await asyncio.sleep(backoff_s * jitter.uniform(0.5, 1.0))
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
             continue
-        changes = position.advance(changes, current_era())
-        _record_size(replays, changes, freshness.transfer_s(clock()))
         _handle_response(freshness, followed, changes, clock())
         backoff_s = MIN_BACKOFF_S
         followed.apply(changes)
@@ -239,14 +272,6 @@
         log_event(Event.PROCESS_FAILED, reason=repr(task.exception()))
 
 
-def _record_size(replays: ReplayDetector, changes: Changes, transfer_s: float) -> None:
-    row_bytes = {row.key: len(row.value) for row in changes.rows}
-    if changes.complete:
-        replays.record_table(row_bytes, transfer_s)
-    elif row_bytes or changes.removed:
-        replays.record_changes(row_bytes, changes.removed, transfer_s)
-
-
 def _handle_failure(
     freshness: TableFreshness, followed: FollowedTable, error: Exception
 ) -> None:
@@ -285,7 +310,7 @@
         rows=len(changes.rows) + len(changes.removed),
         superseded=changes.superseded,
         received_bytes=changes.received_bytes,
-        wait_s=round(now - transfer_s - freshness.requested_at, 3),
+        wait_s=round(freshness.wait_s(), 3),
         transfer_s=round(transfer_s, 3),
         complete=changes.complete,
     )
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -1,7 +1,6 @@
 """HTTP client of the platform's store, which implements the port ``PlatformStore``."""
 
 import asyncio
-import base64
 from collections.abc import Mapping
 
 import aiohttp
@@ -12,7 +11,6 @@
     Changes,
     Check,
     CommitResult,
-    EraMark,
     EraObserver,
     PlatformStore,
     Row,
@@ -23,6 +21,15 @@
     PlatformError,
     ResponseDeclinedError,
 )
+from verbenagrade.platform.store_format import (
+    Page,
+    WireRow,
+    decode_address,
+    decode_era,
+    decode_row,
+    decode_rows,
+    encode_transaction,
+)
 from verbenagrade.settings.gateway import GatewaySettings
 
 __all__ = ["store_port"]
@@ -46,57 +53,6 @@
 Query = Mapping[str, str | int]
 
 
-class WireRow(msgspec.Struct, frozen=True):
-    """A row in a response of the store; ``value`` is encoded in base64."""
-
-    table: str = ""
-    part: str = ""
-    key: str = ""
-    value: str = ""
-    ver: int = 0
-    removed: bool = False
-
-    def path(self) -> str:
-        """Returns the key of the row in the port, ``table/part/key``."""
-        return f"{self.table}/{self.part}/{self.key}"
-
-
-class WireRows(msgspec.Struct, frozen=True):
-    """A response that contains rows. ``ver`` is the store's latest version."""
-
-    rows: tuple[WireRow, ...] = ()
-    truncated: bool = False
-    ver: int = 0
-
-
-class WireAddress(msgspec.Struct, frozen=True, omit_defaults=False):
-    """The address of a row that a transaction checks, writes or removes."""
-
-    table: str
-    part: str
-    key: str
-
-
-class WireCheck(WireAddress, frozen=True):
-    """A row and its expected version; 0 means that the row must not exist."""
-
-    ver: int
-
-
-class WireWrite(WireAddress, frozen=True):
-    """A row and its new value, encoded in base64."""
-
-    value: str
-
-
-class WireTransaction(msgspec.Struct, frozen=True):
-    """A transaction; it is committed if all of ``expected_revision`` match."""
-
-    expected_revision: tuple[WireCheck, ...]
-    writes: tuple[WireWrite, ...]
-    remove: tuple[WireAddress, ...]
-
-
 class WireResponse(msgspec.Struct, frozen=True):
     """The HTTP status and body of a response of the store."""
 
@@ -104,13 +60,6 @@
     body: bytes
 
 
-class Page(msgspec.Struct, frozen=True):
-    """A decoded response that contains rows, and its size in bytes."""
-
-    content: WireRows
-    received_bytes: int
-
-
 class StoreClient:
     """Sends requests to the store over one HTTP session.
 
@@ -140,7 +89,7 @@
         the first one are applied to the result, which thus shows a single moment.
         Raises ``PlatformError`` if there are more than ``MAX_SCAN_PAGES`` pages.
         """
-        address = _address(prefix)
+        address = decode_address(prefix)
         query = {
             "table": address.table,
             "part": address.part,
@@ -156,7 +105,7 @@
                 found.pop(row.path(), None)
                 if row.path().startswith(prefix) and not row.removed:
                     found[row.path()] = row
-        return tuple(_decode_row(found[path]) for path in sorted(found))
+        return tuple(decode_row(found[path]) for path in sorted(found))
 
     async def commit(
         self, checks: tuple[Check, ...], writes: tuple[Write, ...]
@@ -167,13 +116,13 @@
         ``PlatformError`` if the store does not respond; the transaction may then
         have been committed or not.
         """
-        body = msgspec.json.encode(_encode_transaction(checks, writes))
+        body = msgspec.json.encode(encode_transaction(checks, writes))
         response = await self._request("POST", "rows-tx", {}, body, self.timeout_s)
         committed = response.status != HTTP_PRECONDITION_FAILED
         if committed:
             _check_status("rows-tx", response)
-        result = _decode_rows(response)
-        present = tuple(_decode_row(row) for row in result.rows if row.ver)
+        result = decode_rows(response.body)
+        present = tuple(decode_row(row) for row in result.rows if row.ver)
         return CommitResult(committed, result.ver, present)
 
     async def load(self, table: str, accept: AcceptResponse) -> Changes:
@@ -187,7 +136,7 @@
         pages = await self._fetch_pages(query, accept)
         return Changes(
             pages[0].content.ver,
-            tuple(_decode_row(row) for page in pages for row in page.content.rows),
+            tuple(decode_row(row) for page in pages for row in page.content.rows),
             complete=True,
             received_bytes=sum(page.received_bytes for page in pages),
         )
@@ -213,7 +162,7 @@
         newest = {row.path(): row for row in rows}.values()
         return Changes(
             max(after, page.content.ver),
-            tuple(_decode_row(row) for row in newest if not row.removed),
+            tuple(decode_row(row) for row in newest if not row.removed),
             tuple(row.path() for row in newest if row.removed),
             received_bytes=page.received_bytes,
             superseded=len(rows) - len(newest),
@@ -249,7 +198,7 @@
         return page.content.rows
 
     async def _read_row(self, path: str) -> Row | None:
-        address = _address(path)
+        address = decode_address(path)
         query = {
             "table": address.table,
             "part": address.part,
@@ -258,7 +207,7 @@
         }
         page = await self._fetch_rows("rows-get", query, self.timeout_s)
         found = (row for row in page.content.rows if row.path() == path)
-        return next(map(_decode_row, found), None)
+        return next(map(decode_row, found), None)
 
     async def _fetch_rows(
         self,
@@ -281,7 +230,7 @@
                 " read the whole table"
             )
         _check_status(operation, response)
-        return Page(_decode_rows(response), len(response.body))
+        return Page(decode_rows(response.body), len(response.body))
 
     async def _request(
         self,
@@ -334,16 +283,6 @@
     )
 
 
-def decode_era(text: str) -> EraMark:
-    """Decodes the era of a response.
-
-    >>> decode_era("3"), decode_era("three")
-    (EraMark(era=3, text='3'), EraMark(era=None, text='three'))
-    """
-    valid = text.isascii() and text.isdecimal()
-    return EraMark(int(text) if valid else None, text)
-
-
 async def _read_body(
     response: aiohttp.ClientResponse, accept: AcceptResponse | None
 ) -> bytes:
@@ -367,50 +306,9 @@
     return bytes(body)
 
 
-def _encode_transaction(
-    checks: tuple[Check, ...], writes: tuple[Write, ...]
-) -> WireTransaction:
-    return WireTransaction(
-        tuple(
-            WireCheck(a.table, a.part, a.key, check.version)
-            for check in checks
-            for a in (_address(check.key),)
-        ),
-        tuple(
-            WireWrite(a.table, a.part, a.key, base64.b64encode(write.value).decode())
-            for write in writes
-            for a in (_address(write.key),)
-            if write.value is not None
-        ),
-        tuple(_address(write.key) for write in writes if write.value is None),
-    )
-
-
-def _address(path: str) -> WireAddress:
-    table, part, key = path.split("/", 2)
-    return WireAddress(table, part, key)
-
-
-def _decode_row(row: WireRow) -> Row:
-    try:
-        value = base64.b64decode(row.value)
-    except ValueError:
-        # Other processes can write invalid base64. The row is returned with an empty
-        # value, which its consumer detects and logs.
-        value = b""
-    return Row(row.path(), row.ver, value)
-
-
 def _check_status(operation: str, response: WireResponse) -> None:
     if response.status != 200:
         raise PlatformError(
             f"{operation}: HTTP status {response.status};"
             " retry when the store is available"
         )
-
-
-def _decode_rows(response: WireResponse) -> WireRows:
-    try:
-        return msgspec.json.decode(response.body, type=WireRows)
-    except msgspec.DecodeError as error:
-        raise PlatformError(f"invalid response from the store: {error}") from error
--- /dev/null
+++ b/verbenagrade/platform/store_format.py
@@ -0,0 +1,132 @@
+"""Rows, transactions and eras as the platform's store encodes them."""
+
+import base64
+
+import msgspec
+
+from verbenagrade.coordination.ports import Check, EraMark, Row, Write
+from verbenagrade.exceptions import PlatformError
+
+__all__ = [
+    "Page",
+    "WireRow",
+    "WireRows",
+    "decode_address",
+    "decode_era",
+    "decode_row",
+    "decode_rows",
+    "encode_transaction",
+]
+
+
+class WireRow(msgspec.Struct, frozen=True):
+    """A row in a response of the store; ``value`` is encoded in base64."""
+
+    table: str = ""
+    part: str = ""
+    key: str = ""
+    value: str = ""
+    ver: int = 0
+    removed: bool = False
+
+    def path(self) -> str:
+        """Returns the key of the row in the port, ``table/part/key``."""
+        return f"{self.table}/{self.part}/{self.key}"
+
+
+class WireRows(msgspec.Struct, frozen=True):
+    """A response that contains rows. ``ver`` is the store's latest version."""
+
+    rows: tuple[WireRow, ...] = ()
+    truncated: bool = False
+    ver: int = 0
+
+
+class WireAddress(msgspec.Struct, frozen=True, omit_defaults=False):
+    """The address of a row that a transaction checks, writes or removes."""
+
+    table: str
+    part: str
+    key: str
+
+
+class WireCheck(WireAddress, frozen=True):
+    """A row and its expected version; 0 means that the row must not exist."""
+
+    ver: int
+
+
+class WireWrite(WireAddress, frozen=True):
+    """A row and its new value, encoded in base64."""
+
+    value: str
+
+
+class WireTransaction(msgspec.Struct, frozen=True):
+    """A transaction; it is committed if all of ``expected_revision`` match."""
+
+    expected_revision: tuple[WireCheck, ...]
+    writes: tuple[WireWrite, ...]
+    remove: tuple[WireAddress, ...]
+
+
+class Page(msgspec.Struct, frozen=True):
+    """A decoded response that contains rows, and its size in bytes."""
+
+    content: WireRows
+    received_bytes: int
+
+
+def decode_era(text: str) -> EraMark:
+    """Decodes the era of a response.
+
+    >>> decode_era("3"), decode_era("three")
+    (EraMark(era=3, text='3'), EraMark(era=None, text='three'))
+    """
+    valid = text.isascii() and text.isdecimal()
+    return EraMark(int(text) if valid else None, text)
+
+
+def encode_transaction(
+    checks: tuple[Check, ...], writes: tuple[Write, ...]
+) -> WireTransaction:
+    """Encodes the conditions and writes of a transaction."""
+    return WireTransaction(
+        tuple(
+            WireCheck(a.table, a.part, a.key, check.version)
+            for check in checks
+            for a in (decode_address(check.key),)
+        ),
+        tuple(
+            WireWrite(a.table, a.part, a.key, base64.b64encode(write.value).decode())
+            for write in writes
+            for a in (decode_address(write.key),)
+            if write.value is not None
+        ),
+        tuple(decode_address(write.key) for write in writes if write.value is None),
+    )
+
+
+def decode_address(path: str) -> WireAddress:
+    """Returns the address of a row from its key in the port."""
+    table, part, key = path.split("/", 2)
+    return WireAddress(table, part, key)
+
+
+def decode_row(row: WireRow) -> Row:
+    """Decodes a row."""
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError:
+        # Other processes can write invalid base64. The row is returned with an empty
+        # value, which its consumer detects and logs.
+        value = b""
+    return Row(row.path(), row.ver, value)
+
+
+def decode_rows(body: bytes) -> WireRows:
+    """Decodes a response; raises ``PlatformError`` if it is not valid."""
+    try:
+        return msgspec.json.decode(body, type=WireRows)
+    except msgspec.DecodeError as error:
+        raise PlatformError(f"invalid response from the store: {error}") from error
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -175,11 +175,11 @@
         accepts = tuple(request.headers.getall("Accept", []))
         return web.Response(body=core.metrics.render(accepts))
 
-    def _start_tasks(self) -> None:
+    def _followed_tables(self) -> tuple[FollowedTable, ...]:
+        """Returns the tables of configuration, endpoints and fleet, in this order."""
         documents = self.adapter.documents
-        core = self.core
-        wait_s = core.settings.tuning.feed_wait_s
-        tables = (
+        wait_s = self.core.settings.tuning.feed_wait_s
+        return (
             FollowedTable(
                 documents.configuration_table,
                 wait_s,
@@ -202,12 +202,15 @@
                 self._record_response,
             ),
         )
+
+    def _start_tasks(self) -> None:
+        core = self.core
         freshness_trackers = (
             core.configuration_freshness,
             core.directory_freshness,
             core.fleet_freshness,
         )
-        for number, followed in enumerate(tables):
+        for number, followed in enumerate(self._followed_tables()):
             self._start_task(
                 follow_table(
                     self.table,
