--- a/verbenagrade/protocol/problems.py
+++ b/verbenagrade/protocol/problems.py
@@ -13,7 +13,6 @@
 RETRY_SOON_S = 1.0
 RETRY_UNAVAILABLE_S = 2.0
 RETRY_EXHAUSTED_S = 5.0
-CLIENT_CLOSED_STATUS = 499
 
 
 class Outcome(StrEnum):
--- a/verbenagrade/state/routes.py
+++ b/verbenagrade/state/routes.py
@@ -10,7 +10,6 @@
     "GatewayConfiguration",
     "RouteEntry",
     "RouteIndex",
-    "RouteMatch",
     "ServiceEntry",
     "ServiceShare",
     "WorkspaceEntry",
@@ -107,14 +106,6 @@
     requires_key: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class RouteMatch:
-    """The route and workspace of a call, each ``None`` if there is none."""
-
-    route: RouteEntry | None
-    workspace: WorkspaceEntry | None
-
-
 class RouteIndex:
     """Finds routes by host and longest path prefix, and workspaces by API key.
 
@@ -149,10 +140,6 @@
                 return route
         return None
 
-    def match(self, host: str, path: str, key: str) -> RouteMatch:
-        """Returns the route of a call and the workspace of its key."""
-        return RouteMatch(self.find(host, path), self.workspaces.get(key))
-
 
 def prefixes(path: str) -> Iterable[str]:
     """Yields the prefixes of a path that end with a slash, longest first.
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -68,10 +68,6 @@
                 f"{url}: {type(error).__name__}; ask for the outcome before a retry"
             ) from error
 
-    async def record(self, base: str, attempt: str) -> EngineRecord | None:
-        """Returns an engine's record of an attempt, ``None`` if it does not respond."""
-        return await self._fetch_record("GET", f"{base}/v1/requests/{attempt}")
-
     async def close(self, base: str, attempt: str) -> EngineRecord | None:
         """Stops an attempt or prevents it from starting, and returns its token counts.
 
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -29,7 +29,6 @@
 
 __all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
 
-MAX_LINE_BYTES = 16_384
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
