Log the tokens that count as spent for an earlier incarnation

A refusal with 402 did not tell whether the budget was spent or had been granted to VMs that were lost. No logic changes.

--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -27,6 +27,7 @@
     "decode_cached_row",
     "log_grant_adjusted",
     "log_grant_delayed",
+    "log_grant_lost",
     "shards_prefix",
 ]
 
@@ -218,6 +219,8 @@
         """
         if row.version != self.own.version:
             self.pending_return = 0
+            if row.lost:
+                log_grant_lost(self, row.lost)
         elif row.version == 0:
             # Not written in this era yet; the tokens were granted in an earlier one.
             return
@@ -288,6 +291,18 @@
     )
 
 
+def log_grant_lost(account: BudgetAccount, tokens: int) -> None:
+    """Logs that ``tokens`` of an earlier incarnation of this VM count as spent."""
+    log_event(
+        Event.GRANT_LOST,
+        workspace=account.workspace,
+        tokens=tokens,
+        granted=account.granted,
+        spent=account.spent,
+        prepaid=account.prepaid,
+    )
+
+
 def log_grant_delayed(account: BudgetAccount, error: PlatformError) -> None:
     """Logs that a store operation on the budget failed."""
     log_event(Event.GRANT_DELAYED, workspace=account.workspace, reason=str(error))
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -52,6 +52,7 @@
         logbook.WARNING,
         "orphaned reservation examined",
     )
+    GRANT_LOST = (305, logbook.WARNING, "grant of an earlier incarnation found")
     JOURNAL_WRITTEN = (310, logbook.DEBUG, "journal batch written")
     JOURNAL_DELAYED = (311, logbook.WARNING, "journal batch not written yet")
     JOURNAL_SEALED = (312, logbook.ERROR, "journal sealed by another instance")
