Return to a budget what a lost VM can't have spent

Cause: a grant is sized for an outage of the store, and all of it counts as spent when its VM is lost, since nobody knows what was. The class: state that only a process knows, written off at each loss by its worst case, though the store can bound it.

Ruled out: missing configuration or endpoints, avoided endpoints, grants in conflict.

A VM now reports what it spends, and binds itself between reports; the process that replaces it bounds what it can have spent, by the store's time, and returns the rest.

LossMachine checks that nothing is spent twice. The test's fleet reports as a gateway does; its bound is unchanged.

--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -1,7 +1,7 @@
 """A VM's account of one prepaid budget: cached store rows and its allowance."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -66,14 +66,16 @@
 class CachedRow:
     """The version and value of a row as last read or written by this VM.
 
-    ``lost`` is the number of unspent tokens that an earlier incarnation of this
-    VM held. They cannot be spent any more. ``origin`` is that of ``GrantRow``.
+    ``lost`` and ``returnable`` divide the tokens of an earlier incarnation of this VM
+    that its row does not show as spent. The former may be spent and count as such; the
+    latter can't be, and go back to the budget. ``origin`` is that of ``GrantRow``.
     """
 
     version: int = 0
     tokens: int = 0
     spent: int = 0
     lost: int = 0
+    returnable: int = 0
     origin: ShardState | None = None
 
     def with_transfer(self, tokens: int, spent: int) -> "CachedRow":
@@ -83,7 +85,7 @@
         )
 
     def encode(self, incarnation: str = "") -> bytes:
-        """Returns the value as encoded in the store, without ``lost``."""
+        """Returns the value as encoded in the store."""
         return msgspec.json.encode(
             GrantRow(self.tokens, self.spent, incarnation, self.origin)
         )
@@ -168,7 +170,8 @@
         self.era = era
         self.shards = [CachedRow() for _ in range(SHARD_COUNT)]
         tokens = self.own.tokens - self.pending_return
-        self.own = CachedRow(0, tokens, self.own.spent, self.own.lost)
+        lost = self.own.lost + self.own.returnable
+        self.own = CachedRow(0, tokens, self.own.spent, lost)
         self.pending_return = 0
         self.must_reload = False
         self.is_loaded = False
@@ -219,8 +222,8 @@
         """
         if row.version != self.own.version:
             self.pending_return = 0
-            if row.lost:
-                log_grant_lost(self, row.lost)
+            if row.lost or row.returnable:
+                log_grant_lost(self, row)
         elif row.version == 0:
             # Not written in this era yet; the tokens were granted in an earlier one.
             return
@@ -230,9 +233,9 @@
         """Chooses the shards for a grant of ``desired`` tokens, at least ``need``.
 
         A negative ``desired`` returns tokens; all of them go to the first shard in the
-        order of this VM.
+        order of this VM, as do those of an earlier incarnation.
         """
-        if desired < 0:
+        if desired < 0 or (desired == 0 and self.own.returnable):
             return (ShardTransfer(self.shard_order[0], desired),)
         left = {
             shard: shard_limit(self.prepaid, shard) - row.tokens
@@ -256,16 +259,26 @@
         allowance.granted = min(allowance.granted, in_use)
 
 
-def decode_cached_row(row: Row | None, incarnation: str) -> CachedRow:
+def decode_cached_row(
+    row: Row | None,
+    incarnation: str,
+    spent_at_most: Callable[[str], int | None] = lambda _incarnation: None,
+) -> CachedRow:
     """Decodes a row of the store; ``None`` stands for an absent row.
 
-    If another incarnation wrote the row, its unspent tokens count as ``lost``.
+    If another incarnation wrote the row, ``spent_at_most`` tells how many tokens that
+    one can have spent, ``None`` if it may have spent all.
     """
     if row is None:
         return CachedRow()
     value = msgspec.json.decode(row.value, type=GrantRow)
     if value.incarnation != incarnation:
-        return CachedRow(row.version, lost=value.tokens - value.spent)
+        bound = spent_at_most(value.incarnation)
+        spent = value.tokens if bound is None else min(value.tokens, bound)
+        spent = max(spent, value.spent)
+        return CachedRow(
+            row.version, lost=spent - value.spent, returnable=value.tokens - spent
+        )
     return CachedRow(row.version, value.tokens, value.spent, origin=value.origin)
 
 
@@ -291,12 +304,13 @@
     )
 
 
-def log_grant_lost(account: BudgetAccount, tokens: int) -> None:
-    """Logs that ``tokens`` of an earlier incarnation of this VM count as spent."""
+def log_grant_lost(account: BudgetAccount, row: CachedRow) -> None:
+    """Logs what becomes of the tokens of an earlier incarnation of this VM."""
     log_event(
         Event.GRANT_LOST,
         workspace=account.workspace,
-        tokens=tokens,
+        tokens=row.lost,
+        returnable=row.returnable,
         granted=account.granted,
         spent=account.spent,
         prepaid=account.prepaid,
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from heapq import nlargest
 
 from verbenagrade.coordination.accounts import (
     BudgetAccount,
@@ -14,6 +15,7 @@
 )
 from verbenagrade.coordination.grant_transactions import GrantTransactions
 from verbenagrade.coordination.ports import PlatformStore
+from verbenagrade.coordination.spending_reports import SpendingReports
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.exceptions import (
     BudgetExhaustedError,
@@ -25,6 +27,7 @@
     plan_grant,
     target_free_tokens,
 )
+from verbenagrade.state.spending import ReportedBudget, report_budget
 
 __all__ = ["AllowanceManager"]
 
@@ -63,6 +66,19 @@
 """Time in seconds after a failed store call during which no caller waits for the
 store. It ends early when a background call succeeds."""
 
+REPORT_INTERVAL_S = 0.5
+REPORT_INTERVAL_S_PER_VM = 0.02
+"""Minimum interval, and interval per VM of the fleet, in seconds, between reports of
+the spending. The interval grows with the fleet to bound the total rate of writes."""
+
+MAX_REPORTED_BUDGETS = 300
+"""Largest number of budgets in a report, about 90 bytes each: a row of the store holds
+64 KB. What a lost VM held of other budgets counts as spent."""
+
+MAX_REPORTS_PER_CALL = 2
+"""Reports of the spending that a call waits for: one whose outcome was unknown is sent
+again before a new one."""
+
 MAX_PREPARED_BUDGETS = 32
 """Maximum number of budgets for which a VM obtains a grant before any demand."""
 
@@ -74,7 +90,9 @@
     """Reserves tokens for calls and keeps this VM's grants on all budgets.
 
     ``vm_count`` is the number of VMs in the fleet. ``clock`` returns seconds.
-    ``eras`` tells when the store has lost recent transactions.
+    ``eras`` tells when the store has lost recent transactions. ``spending`` reports to
+    the store what this VM spends; without it, what an earlier incarnation held counts
+    as spent.
     """
 
     def __init__(
@@ -85,6 +103,7 @@
         tuning: TuningSettings,
         clock: Callable[[], float],
         eras: StoreEras,
+        spending: SpendingReports | None = None,
     ) -> None:
         self.table = table
         self.vm = vm
@@ -95,7 +114,9 @@
         self.vm_count = 1
         self.random = random.Random(incarnation)
         self.accounts: dict[str, BudgetAccount] = {}
-        self.grant_transactions = GrantTransactions(table, incarnation, clock)
+        self.spending = spending
+        self.report_lock = asyncio.Lock()
+        self.grant_transactions = GrantTransactions(table, incarnation, clock, spending)
         self.failed_at = float("-inf")
         self.probed_at = float("-inf")
         self.refills: set[asyncio.Task[None]] = set()
@@ -120,7 +141,7 @@
         ``UnavailableError`` if the store cannot confirm whether it has enough.
         """
         account = self._get_or_create_account(workspace)
-        if account.allowance.reserve(bound):
+        if self._reserve_locally(account, bound):
             account.allowance.record_demand(bound, self.clock())
             self._schedule_refill_if_low(account)
             return
@@ -130,7 +151,7 @@
             )
             self._schedule_refill(account)
             raise UnavailableError(
-                f"{workspace} has {account.allowance.free} tokens here, {bound} are"
+                f"{workspace} has {self._reservable(account)} tokens here, {bound} are"
                 " needed; retry when the store responds"
             )
         async with account.lock:
@@ -142,6 +163,10 @@
                 raise UnavailableError(f"no grant: {error}") from error
         if granted:
             account.allowance.record_demand(bound, self.clock())
+        elif self._awaits_earlier_grant(workspace):
+            raise UnavailableError(
+                f"{workspace} gets back tokens of an earlier process; retry later"
+            )
         else:
             left = account.prepaid - account.granted + account.allowance.free
             raise BudgetExhaustedError(
@@ -161,6 +186,95 @@
         """Ends a reservation of ``bound`` tokens, of which ``used`` were spent."""
         self._get_or_create_account(workspace).allowance.settle(bound, used)
 
+    async def report_spending(self) -> None:
+        """Reports to the store what this VM spends, and takes over an earlier grant.
+
+        Raises ``PlatformError`` if the store does not respond.
+        """
+        spending = self.spending
+        if spending is None:
+            return
+        await self._take_over_reports()
+        async with self.report_lock:
+            await spending.report(self._reported_budgets())
+        for workspace in spending.held_by_earlier():
+            account = self._get_or_create_account(workspace)
+            async with account.lock:
+                if await self.grant_transactions.return_earlier(account):
+                    spending.forget_closed(workspace)
+
+    async def _take_over_reports(self) -> None:
+        """Learns what an earlier incarnation spent, before its row is overwritten."""
+        spending = self.spending
+        if spending is None or spending.taken_over:
+            return
+        async with self.report_lock:
+            if not spending.taken_over:
+                await spending.take_over()
+
+    def report_interval_s(self) -> float:
+        """Returns the time between two reports of the spending, in seconds."""
+        return max(REPORT_INTERVAL_S, REPORT_INTERVAL_S_PER_VM * self.vm_count)
+
+    def _reported_budgets(self) -> dict[str, ReportedBudget]:
+        """Returns what to report, for the largest grants if there are many."""
+        held = (it for it in self.accounts.values() if it.allowance.granted > 0)
+        largest = nlargest(MAX_REPORTED_BUDGETS, held, lambda it: it.allowance.free)
+        now = self.clock()
+        return {
+            account.workspace: report_budget(account.allowance, account.prepaid, now)
+            for account in largest
+        }
+
+    async def _reserve_after_report(self, account: BudgetAccount, bound: int) -> bool:
+        """Reserves free tokens beyond the limit of the last report, by a newer one.
+
+        The report counts the tokens as committed. Raises ``PlatformError`` if the store
+        does not respond; the tokens are then free again.
+        """
+        if not account.allowance.reserve(bound):
+            return False
+        covered = False
+        try:
+            for _ in range(MAX_REPORTS_PER_CALL):
+                async with self.report_lock:
+                    if not self._exceeds_limit(account):
+                        break
+                    await self.spending.report(self._reported_budgets())
+            covered = not self._exceeds_limit(account)
+        finally:
+            if not covered:
+                account.allowance.release(bound)
+        return covered
+
+    def _exceeds_limit(self, account: BudgetAccount) -> bool:
+        limit = self._spending_limit(account)
+        return limit is not None and account.allowance.committed > limit
+
+    def _reserve_locally(self, account: BudgetAccount, bound: int) -> bool:
+        """Reserves tokens without the store, if it need not be asked."""
+        return account.allowance.reserve(bound, self._spending_limit(account))
+
+    def _reservable(self, account: BudgetAccount) -> int:
+        """Returns how many tokens can be reserved without the store."""
+        limit = self._spending_limit(account)
+        free = account.allowance.free
+        if limit is None:
+            return free
+        return max(0, min(free, limit - account.allowance.committed))
+
+    def _spending_limit(self, account: BudgetAccount) -> int | None:
+        if self.spending is None:
+            return None
+        return self.spending.limit(account.workspace, self.clock())
+
+    def _awaits_earlier_grant(self, workspace: str) -> bool:
+        """Returns whether tokens of an earlier incarnation may still be returned."""
+        spending = self.spending
+        if spending is None:
+            return False
+        return not spending.taken_over or workspace in spending.held_by_earlier()
+
     async def rebalance(self) -> None:
         """Refreshes stale accounts and returns tokens that exceed this VM's demand."""
         for account in tuple(self.accounts.values()):
@@ -216,6 +330,8 @@
         for account in self.accounts.values():
             if account.era != self.eras.number:
                 account.enter_era(self.eras.number)
+        if self.spending is not None:
+            self.spending.enter_era()
 
     def settling_budgets(self) -> int:
         """Returns how many budgets grant nothing since the era changed."""
@@ -259,6 +375,7 @@
         """Obtains tokens ahead of demand; a platform error is logged, not raised."""
         async with account.lock:
             try:
+                await self._take_over_reports()
                 if self._must_read_shards(account):
                     await self.grant_transactions.refresh(account)
                 tokens = self._planned_tokens(account, 0)
@@ -284,9 +401,12 @@
         ``UnavailableError`` if all transactions conflicted.
         """
         fresh = False
+        await self._take_over_reports()
         for _ in range(MAX_TRANSACTIONS_PER_TRANSFER):
-            if account.allowance.reserve(bound):
+            if self._reserve_locally(account, bound):
                 return True
+            if bound <= account.allowance.free:
+                return await self._reserve_limited(account, bound)
             if self._must_read_shards(account):
                 await self.grant_transactions.refresh(account)
                 fresh = True
@@ -307,6 +427,19 @@
                 await self._back_off()
         raise UnavailableError("other VMs change the budget too often; retry later")
 
+    async def _reserve_limited(self, account: BudgetAccount, bound: int) -> bool:
+        """Reserves tokens that were granted, after a report of the spending.
+
+        Raises ``PlatformError`` if the store does not respond, and
+        ``UnavailableError`` if the tokens can't be reserved yet.
+        """
+        if await self._reserve_after_report(account, bound):
+            return True
+        raise UnavailableError(
+            f"{account.workspace} may not reserve {bound} of its tokens here yet;"
+            " retry later"
+        )
+
     def _must_read_shards(self, account: BudgetAccount) -> bool:
         """Returns whether the shards must be read before the next transaction."""
         if account.must_reload or account.must_restore or not account.is_loaded:
--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -28,6 +28,7 @@
     Row,
     Write,
 )
+from verbenagrade.coordination.spending_reports import SpendingReports
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
 
@@ -40,15 +41,21 @@
 class GrantTransactions:
     """Runs the transactions on the ``grants`` table for one incarnation of a VM.
 
-    ``clock`` returns the time in seconds.
+    ``clock`` returns the time in seconds. ``spending`` tells what earlier incarnations
+    can have spent, ``None`` if that is not known.
     """
 
     def __init__(
-        self, table: PlatformStore, incarnation: str, clock: Callable[[], float]
+        self,
+        table: PlatformStore,
+        incarnation: str,
+        clock: Callable[[], float],
+        spending: SpendingReports | None = None,
     ) -> None:
         self.table = table
         self.incarnation = incarnation
         self.clock = clock
+        self.spending = spending
 
     async def transfer(self, account: BudgetAccount, need: int, tokens: int) -> bool:
         """Transfers tokens from shards to this VM, or back if ``tokens`` is negative.
@@ -66,11 +73,12 @@
         own = account.own.with_transfer(tokens, spent)
         shards: dict[int, CachedRow] = {}
         unreported = spent + account.own.lost
+        returnable = account.own.returnable
         for transfer in transfers:
             shards[transfer.shard] = account.shards[transfer.shard].with_transfer(
-                transfer.tokens, unreported
+                transfer.tokens - returnable, unreported
             )
-            unreported = 0
+            unreported = returnable = 0
         checks = (
             *(Check(account.shard_key(p), account.shards[p].version) for p in shards),
             Check(account.own_key, account.own.version),
@@ -109,9 +117,7 @@
         else:
             rows = {row.key: row for row in commit.rows}
             account.update_shards(commit.rows)
-            account.update_own(
-                decode_cached_row(rows.get(account.own_key), self.incarnation)
-            )
+            account.update_own(self._decode_own(account, rows.get(account.own_key)))
         apply_confirmed_grant(account)
 
     async def refresh(self, account: BudgetAccount) -> None:
@@ -128,12 +134,33 @@
             account.update_shards(await self.table.scan(account.shards_prefix))
         if account.must_reload:
             (own,) = await self.table.read((account.own_key,))
-            account.update_own(decode_cached_row(own, self.incarnation))
+            account.update_own(self._decode_own(account, own))
         account.is_loaded = True
         account.shards_read_at = self.clock()
         apply_confirmed_grant(account)
         account.must_reload = False
 
+    def _decode_own(self, account: BudgetAccount, row: Row | None) -> CachedRow:
+        """Decodes the row of this VM, which an earlier incarnation may have written."""
+        spending = self.spending
+        if spending is None:
+            return decode_cached_row(row, self.incarnation)
+        return decode_cached_row(
+            row,
+            self.incarnation,
+            lambda earlier: spending.spent_at_most(earlier, account.workspace),
+        )
+
+    async def return_earlier(self, account: BudgetAccount) -> bool:
+        """Returns what an earlier incarnation of this VM held and can't have spent.
+
+        Returns false if the rows have changed meanwhile. Raises ``PlatformError`` if
+        the store does not respond.
+        """
+        account.must_reload = True
+        await self.refresh(account)
+        return not account.own.returnable or await self.transfer(account, 0, 0)
+
     async def restore_if_due(self, account: BudgetAccount) -> None:
         """Restores a budget after a change of the era, unless it is in use now.
 
--- a/verbenagrade/coordination/ports.py
+++ b/verbenagrade/coordination/ports.py
@@ -133,11 +133,14 @@
 
     ``version`` is the version of the written rows. If the transaction was not
     committed, ``rows`` contains those of the checked rows that exist.
+    ``store_time_s`` is the time of the store's steady clock at the transaction, in
+    seconds, ``None`` if the response does not tell it.
     """
 
     committed: bool
     version: int
     rows: tuple[Row, ...] = ()
+    store_time_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenagrade/coordination/tests/test_lost_vms.py
+++ b/verbenagrade/coordination/tests/test_lost_vms.py
@@ -8,12 +8,25 @@
 import random
 from contextlib import suppress
 
+import hypothesis.strategies as st
 import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.spending_reports import SpendingReports, VmIdentity
 from verbenagrade.coordination.store_eras import StoreEras
-from verbenagrade.coordination.tests.test_store_eras import DrillStore, FakeClock
-from verbenagrade.exceptions import BudgetExhaustedError, UnavailableError
+from verbenagrade.coordination.tests.test_store_eras import (
+    BUDGET,
+    DrillStore,
+    FakeClock,
+    Fleet,
+)
+from verbenagrade.exceptions import (
+    BudgetExhaustedError,
+    PlatformError,
+    UnavailableError,
+)
 from verbenagrade.settings.gateway import TuningSettings
 
 VMS = 8
@@ -35,7 +48,7 @@
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
         self.clock = FakeClock()
-        self.store = DrillStore()
+        self.store = DrillStore(self.clock)
         self.starts = 0
         self.spent = dict.fromkeys(range(WORKSPACES), 0)
         self.managers = [self.start(vm) for vm in range(VMS)]
@@ -43,13 +56,16 @@
     def start(self, vm: int) -> AllowanceManager:
         self.starts += 1
         eras = StoreEras(self.clock)
+        identity = VmIdentity(f"vm-{vm}", f"10.0.0.{vm}:80", f"vm-{vm}-{self.starts}")
+        port = self.store.port(eras)
         manager = AllowanceManager(
-            self.store.port(eras),
-            f"vm-{vm}",
-            f"vm-{vm}-{self.starts}",
+            port,
+            identity.vm,
+            identity.incarnation,
             TuningSettings(),
             self.clock,
             eras,
+            SpendingReports(port, identity, self.clock, eras),
         )
         manager.random.seed(self.random.random())
         eras.on_change = manager.enter_era
@@ -63,6 +79,10 @@
             await manager.prefetch_grants()
             await manager.rebalance()
 
+    async def report(self) -> None:
+        for manager in self.managers:
+            await manager.report_spending()
+
     async def lose_all_vms(self) -> None:
         self.clock.now += RETURN_S
         self.managers = [self.start(vm) for vm in range(VMS)]
@@ -76,6 +96,8 @@
         came = served = 0
         for step in range(int(seconds / STEP_S)):
             self.clock.now += STEP_S
+            if step % 2 == 0:
+                await self.report()
             if step % 4 == 0:
                 await self.maintain()
             for _ in range(int(CALLS_PER_S * STEP_S)):
@@ -113,3 +135,78 @@
     assert max(site.spent.values()) <= PREPAID
     assert came > 100
     assert served >= LEAST_SERVED_FRACTION * came
+
+
+class LossMachine(RuleBasedStateMachine):
+    """Interleaves calls with losses of VMs at any moment and troubles of the store.
+
+    A call that was begun and not ended when its VM is lost counts as spent in full.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.fleet = Fleet()
+
+    def teardown(self) -> None:
+        self.loop.close()
+
+    @rule(vm=st.integers(0, 2), tokens=st.integers(1, 120))
+    def call(self, vm, tokens):
+        self.loop.run_until_complete(self.fleet.call(vm, tokens))
+
+    @rule(vm=st.integers(0, 2), tokens=st.integers(1, 300))
+    def begin_call(self, vm, tokens):
+        with suppress(BudgetExhaustedError, UnavailableError):
+            manager = self.fleet.managers[vm]
+            self.loop.run_until_complete(manager.reserve(BUDGET, tokens))
+            self.fleet.spent += tokens
+
+    @rule(vm=st.integers(0, 2), tokens=st.integers(5, 200))
+    def spend_all(self, vm, tokens):
+        self.loop.run_until_complete(self.fleet.spend_all(vm, tokens))
+
+    @rule(seconds=st.integers(1, 8))
+    def advance(self, seconds):
+        self.loop.run_until_complete(self.fleet.advance(seconds))
+
+    @rule(seconds=st.floats(0.01, 9.0))
+    def pass_time_without_maintenance(self, seconds):
+        self.fleet.clock.now += seconds
+
+    @rule(vm=st.integers(0, 2))
+    def report(self, vm):
+        with suppress(PlatformError):
+            manager = self.fleet.managers[vm]
+            self.loop.run_until_complete(manager.report_spending())
+
+    @rule(vm=st.integers(0, 2))
+    def lose_vm(self, vm):
+        self.fleet.managers[vm] = self.fleet.start(vm)
+
+    @rule()
+    def lose_all_vms(self):
+        self.fleet.managers = [self.fleet.start(vm) for vm in range(3)]
+
+    @rule(unavailable=st.booleans())
+    def change_store(self, unavailable):
+        self.fleet.store.unavailable = unavailable
+
+    @rule(fault=st.sampled_from(["lost", "delayed"]))
+    def fail_next_commit(self, fault):
+        self.fleet.store.fault = fault
+
+    @precondition(lambda self: self.fleet.store.delayed)
+    @rule()
+    def apply_delayed(self):
+        self.fleet.store.apply_delayed()
+
+    @invariant()
+    def never_more_is_spent_or_can_be_than_was_prepaid(self):
+        assert self.fleet.spent + self.fleet.spendable() <= self.fleet.prepaid
+
+
+LossMachine.TestCase.settings = settings(
+    max_examples=250, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestLosses = LossMachine.TestCase
--- a/verbenagrade/coordination/tests/test_store_eras.py
+++ b/verbenagrade/coordination/tests/test_store_eras.py
@@ -17,6 +17,7 @@
     PlatformStore,
     Row,
 )
+from verbenagrade.coordination.spending_reports import SpendingReports, VmIdentity
 from verbenagrade.coordination.store_eras import StoreEras, guard_eras
 from verbenagrade.exceptions import (
     BudgetExhaustedError,
@@ -44,15 +45,18 @@
 
     Versions then go back and are given out again, and the era rises by one. The
     response to the next commit is lost if ``fault`` is ``"lost"``; the commit itself
-    waits for ``apply_delayed`` if it is ``"delayed"``.
+    waits for ``apply_delayed`` if it is ``"delayed"``. While ``unavailable`` is set, no
+    request gets a response.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: FakeClock) -> None:
+        self.clock = clock
         self.rows: dict[str, Row] = {}
         self.version = 0
         self.era = 1
         self.copy = ({}, 0)
         self.fault = ""
+        self.unavailable = False
         self.delayed: list = []
 
     def take_copy(self) -> None:
@@ -64,16 +68,19 @@
 
     def port(self, eras: StoreEras) -> PlatformStore:
         async def read(keys):
+            self._raise_if_unavailable()
             self._observe(eras)
             return tuple(self.rows.get(key) for key in keys)
 
         async def scan(prefix):
+            self._raise_if_unavailable()
             self._observe(eras)
             return tuple(
                 row for key, row in sorted(self.rows.items()) if key.startswith(prefix)
             )
 
         async def commit(checks, writes):
+            self._raise_if_unavailable()
             if self.fault == "delayed":
                 self.fault = ""
                 self.delayed.append((checks, writes))
@@ -87,6 +94,10 @@
 
         return guard_eras(PlatformStore(read, scan, commit, None, None), eras)
 
+    def _raise_if_unavailable(self) -> None:
+        if self.unavailable:
+            raise PlatformError("unavailable")
+
     def apply_delayed(self) -> None:
         for checks, writes in self.delayed:
             self._commit(checks, writes)
@@ -100,19 +111,19 @@
         for check in checks:
             row = self.rows.get(check.key)
             if (row.version if row else 0) != check.version:
-                return CommitResult(False, self.version, present)
+                return CommitResult(False, self.version, present, self.clock())
         self.version += 1
         for write in writes:
             self.rows[write.key] = Row(write.key, self.version, write.value)
-        return CommitResult(True, self.version)
+        return CommitResult(True, self.version, (), self.clock())
 
 
 class Fleet:
     """VMs that spend one budget from a store; ``spent`` counts their tokens."""
 
     def __init__(self) -> None:
-        self.store = DrillStore()
         self.clock = FakeClock()
+        self.store = DrillStore(self.clock)
         self.prepaid = PREPAID
         self.spent = 0
         self.starts = 0
@@ -122,13 +133,16 @@
         self.starts += 1
         eras = StoreEras(self.clock)
         eras.observe(EraMark(self.store.era), None)
+        identity = VmIdentity(f"vm-{vm}", f"10.0.0.{vm}:80", f"vm-{vm}-{self.starts}")
+        port = self.store.port(eras)
         manager = AllowanceManager(
-            self.store.port(eras),
-            f"vm-{vm}",
-            f"vm-{vm}-{self.starts}",
+            port,
+            identity.vm,
+            identity.incarnation,
             TuningSettings(),
             self.clock,
             eras,
+            SpendingReports(port, identity, self.clock, eras),
         )
         eras.on_change = manager.enter_era
         manager.vm_count = VMS
@@ -164,8 +178,10 @@
         for _ in range(seconds):
             self.clock.now += 1.0
             for manager in self.managers:
-                with suppress(EraChangedError):
+                with suppress(PlatformError):
                     await manager.table.read(("op//config",))
+                with suppress(PlatformError):
+                    await manager.report_spending()
                 await manager.prefetch_grants()
                 await manager.rebalance()
                 await self._finish_refills()
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -53,6 +53,18 @@
         "orphaned reservation examined",
     )
     GRANT_LOST = (305, logbook.WARNING, "grant of an earlier incarnation found")
+    SPENDING_BOUNDED = (
+        306,
+        logbook.INFO,
+        "spending of an earlier incarnation bounded",
+    )
+    SPENDING_IGNORED = (307, logbook.WARNING, "report of spending can't be read")
+    SPENDING_SUPERSEDED = (
+        308,
+        logbook.ERROR,
+        "another process reports the spending of this VM",
+    )
+    SPENDING_DELAYED = (309, logbook.WARNING, "spending not reported yet")
     JOURNAL_WRITTEN = (310, logbook.DEBUG, "journal batch written")
     JOURNAL_DELAYED = (311, logbook.WARNING, "journal batch not written yet")
     JOURNAL_SEALED = (312, logbook.ERROR, "journal sealed by another instance")
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -123,7 +123,8 @@
             _check_status("rows-tx", response)
         result = decode_rows(response.body)
         present = tuple(decode_row(row) for row in result.rows if row.ver)
-        return CommitResult(committed, result.ver, present)
+        store_time_s = None if result.now_ms is None else result.now_ms / MS_PER_S
+        return CommitResult(committed, result.ver, present, store_time_s)
 
     async def load(self, table: str, accept: AcceptResponse) -> Changes:
         """Reads all rows of a table, page by page.
--- a/verbenagrade/platform/store_format.py
+++ b/verbenagrade/platform/store_format.py
@@ -35,11 +35,16 @@
 
 
 class WireRows(msgspec.Struct, frozen=True):
-    """A response that contains rows. ``ver`` is the store's latest version."""
+    """A response that contains rows.
+
+    ``ver`` is the store's latest version, ``now_ms`` the time of its steady clock in
+    milliseconds.
+    """
 
     rows: tuple[WireRow, ...] = ()
     truncated: bool = False
     ver: int = 0
+    now_ms: float | None = None
 
 
 class WireAddress(msgspec.Struct, frozen=True, omit_defaults=False):
--- a/verbenagrade/state/allowance.py
+++ b/verbenagrade/state/allowance.py
@@ -80,16 +80,26 @@
         """The tokens that a new call can reserve."""
         return self.granted - self.spent - self.reserved
 
-    def reserve(self, bound: int) -> bool:
+    @property
+    def committed(self) -> int:
+        """The tokens that are spent or reserved."""
+        return self.spent + self.reserved
+
+    def reserve(self, bound: int, limit: int | None = None) -> bool:
         """Reserves the most tokens that a call may use.
 
-        Returns ``False`` and reserves nothing if fewer tokens are free.
+        Returns ``False`` and reserves nothing if fewer tokens are free, or if more than
+        ``limit`` tokens were then committed.
         """
-        if bound > self.free:
+        if bound > self.free or (limit is not None and self.committed + bound > limit):
             return False
         self.reserved += bound
         return True
 
+    def release(self, bound: int) -> None:
+        """Ends a reservation of a call that was not sent."""
+        self.reserved -= bound
+
     def settle(self, bound: int, used: int) -> None:
         """Ends a reservation and records the tokens that the call used as spent."""
         self.reserved -= bound
--- /dev/null
+++ b/verbenagrade/state/spending.py
@@ -0,0 +1,121 @@
+"""Bounds what a VM can have spent since it last reported to the store.
+
+What a lost VM held is lost to its workspaces, unless the VM that takes its place knows
+how much of it can't have been spent. Each VM therefore reports what it has spent, and
+binds itself: some of its free tokens can be reserved at once, and the rest only as time
+passes without a newer report. While the store responds, reports are frequent and the
+limit is seldom felt. During an outage the limit rises until all tokens can be reserved.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from verbenagrade.state.allowance import Allowance
+
+__all__ = [
+    "ClosedSpending",
+    "ReportedBudget",
+    "SpendingReport",
+    "report_budget",
+    "spendable_since",
+    "spent_at_most",
+]
+
+AT_ONCE_FRACTION = 0.25
+AT_ONCE_DEMAND_S = 2.0
+"""A VM may reserve at once after a report this fraction of its free tokens, or the
+demand of so many seconds if that is less."""
+
+SMALL_GRANT_FRACTION = 1 / 400
+"""Free tokens up to this fraction of the prepaid tokens may all be reserved at once.
+Their loss matters little, and a report for each call would delay the calls."""
+
+RELEASE_BEGINS_S = 1.5
+RELEASE_ENDS_S = 6.5
+"""Time since a report after which more tokens can be reserved, and after which all
+can, in seconds. A process that replaces a lost one is up about 2 s after the last
+report of the latter."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedBudget:
+    """What a VM reports about one budget, in tokens.
+
+    ``committed`` tokens were spent or reserved. Of the ``free`` ones, ``at_once`` may
+    be reserved without a newer report.
+    """
+
+    committed: int
+    free: int
+    at_once: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClosedSpending:
+    """The tokens that an incarnation which has ended spent at most, by workspace."""
+
+    incarnation: str
+    tokens: Mapping[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class SpendingReport:
+    """The stored value of a VM's report of its spending.
+
+    ``address`` is the one that the VM serves at. ``reported_at_s`` is a time of the
+    store that was not later than the report, in seconds. ``budgets`` maps workspaces
+    to what was reported; a workspace that is not in it is not bound by the report.
+    ``closed`` are the earlier incarnations of the VM whose grants may not have been
+    returned yet, the latest one first.
+    """
+
+    incarnation: str
+    address: str
+    reported_at_s: float
+    budgets: Mapping[str, ReportedBudget] = field(default_factory=dict)
+    closed: tuple[ClosedSpending, ...] = ()
+
+
+def report_budget(allowance: Allowance, prepaid: int, now: float) -> ReportedBudget:
+    """Returns what to report about a budget; ``now`` is in seconds.
+
+    >>> allowance = Allowance(now=0.0)
+    >>> allowance.granted, allowance.spent = 1500, 500
+    >>> report_budget(allowance, prepaid=40_000, now=0.0)
+    ReportedBudget(committed=500, free=1000, at_once=100)
+    >>> allowance.record_demand(4000, now=0.0)
+    >>> report_budget(allowance, prepaid=40_000, now=0.0)
+    ReportedBudget(committed=500, free=1000, at_once=250)
+    """
+    free = max(0, allowance.free)
+    small = min(free, prepaid * SMALL_GRANT_FRACTION)
+    expected = allowance.demand_at(now) * AT_ONCE_DEMAND_S
+    at_once = max(small, min(free * AT_ONCE_FRACTION, expected))
+    return ReportedBudget(allowance.committed, free, int(at_once))
+
+
+def spendable_since(budget: ReportedBudget, elapsed_s: float) -> int:
+    """Returns how many tokens can be reserved in the time since a report.
+
+    It never falls as ``elapsed_s``, in seconds, rises.
+
+    >>> budget = ReportedBudget(committed=500, free=1000, at_once=200)
+    >>> [spendable_since(budget, seconds) for seconds in (0.5, 4.0, 7.0)]
+    [200, 600, 1000]
+    """
+    released = (elapsed_s - RELEASE_BEGINS_S) / (RELEASE_ENDS_S - RELEASE_BEGINS_S)
+    later = budget.free - budget.at_once
+    return budget.at_once + int(later * min(1.0, max(0.0, released)))
+
+
+def spent_at_most(report: SpendingReport, now_s: float) -> ClosedSpending:
+    """Returns the most that the VM of a report can have spent until ``now_s``.
+
+    ``now_s`` is a time of the store, in seconds, at which the VM had ended.
+    """
+    elapsed_s = max(0.0, now_s - report.reported_at_s)
+    tokens = {
+        workspace: budget.committed + spendable_since(budget, elapsed_s)
+        for workspace, budget in report.budgets.items()
+    }
+    return ClosedSpending(report.incarnation, tokens)
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -15,6 +15,7 @@
     apply_endpoints,
 )
 from verbenagrade.coordination.ports import Changes, EraObserver, PlatformStore
+from verbenagrade.coordination.spending_reports import SpendingReports, VmIdentity
 from verbenagrade.coordination.store_calls import count_failures
 from verbenagrade.coordination.store_eras import StoreEras, guard_eras
 from verbenagrade.coordination.table_feed import (
@@ -97,12 +98,20 @@
         store = adapter.store(self.store_session, settings, eras.observer())
         self.table = guard_eras(count_failures(store, self._count_failure), eras)
         bounds = settings.bounds
+        identity = VmIdentity(settings.vm, settings.listen.callers, incarnation)
+        spending = SpendingReports(self.table, identity, self.clock, eras)
         self.core = GatewayCore(
             settings=settings,
             call_format=adapter.calls,
             session=self.endpoint_session,
             allowance_manager=AllowanceManager(
-                self.table, settings.vm, incarnation, settings.tuning, self.clock, eras
+                self.table,
+                settings.vm,
+                incarnation,
+                settings.tuning,
+                self.clock,
+                eras,
+                spending,
             ),
             fleet=GatewayFleet(self.table, settings.vm, incarnation, eras),
             placement=PlacementTable(
@@ -223,6 +232,7 @@
             )
         self._start_task(self._expire_endpoints())
         self._start_task(self._maintain_grants())
+        self._start_task(self._report_spending())
 
     def _apply_configuration(self, changes: Changes) -> None:
         """Replaces the configuration."""
@@ -294,6 +304,22 @@
             await core.allowance_manager.prefetch_grants()
             await core.allowance_manager.rebalance()
 
+    async def _report_spending(self) -> None:
+        """Periodically reports to the store what this VM spends."""
+        core = self.core
+        manager = core.allowance_manager
+        delayed = False
+        while True:
+            try:
+                await manager.report_spending()
+                delayed = False
+            except PlatformError as error:
+                if not delayed:
+                    log_event(Event.SPENDING_DELAYED, reason=str(error))
+                delayed = True
+            interval_s = manager.report_interval_s()
+            await asyncio.sleep(interval_s * core.random.uniform(0.8, 1.2))
+
     async def _shut_down(self) -> None:
         core = self.core
         log_event(Event.PROCESS_STOPPING, in_flight=core.in_flight)
