Log the parts of the prompt of each call that an endpoint broke off

The logs couldn't tell whether calls crash endpoints by a shared part of their prompts or endpoints crash by themselves. Event 220 gives the parts, the events that had arrived and the endpoint's start. No logic changes.

--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -43,6 +43,7 @@
     CRASH_NOT_REPORTED = (217, logbook.WARNING, "crash not reported to other VMs")
     CALL_KEPT = (219, logbook.INFO, "call stays at its slow endpoint")
     CALL_FAILED = (218, logbook.ERROR, "call failed unexpectedly")
+    CALL_BROKEN_OFF = (220, logbook.INFO, "endpoint broke off while it had a call")
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
     GRANT_DELAYED = (302, logbook.WARNING, "grant not adjusted; platform unavailable")
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -120,6 +120,7 @@
     Raises ``SendFailedError`` if there is no complete response.
     """
     patience_s = _first_response_patience_s(core, call, progress, entry)
+    events_before = progress.delivered_events
     core.placement.sent(entry, call.head.call_id, call.shape, core.clock())
     if progress.placements == 1:
         core.retry_budget(call.service).record_first_send(core.clock())
@@ -137,6 +138,7 @@
     except UpstreamTimeoutError as error:
         raise SendFailedError(Failure.SILENT, str(error)) from error
     except UpstreamFailedError as error:
+        _log_broken_off(call, entry, progress.delivered_events - events_before)
         _report_crash(core, call, entry)
         raise SendFailedError(Failure.BROKEN, str(error)) from error
     except asyncio.CancelledError:
@@ -270,6 +272,21 @@
     return ForwardResult(response, CallResult(refusal.status, refusal.reason))
 
 
+def _log_broken_off(call: Call, entry: EndpointEntry, events: int) -> None:
+    """Logs what is needed to find out which part of a call crashes endpoints.
+
+    ``events`` is the number of events that arrived from this endpoint.
+    """
+    log_event(
+        Event.CALL_BROKEN_OFF,
+        call=call.head.call_id,
+        endpoint=entry.name,
+        started_ms=entry.started_ms,
+        parts=[part.name for part in call.head.prompt],
+        events=events,
+    )
+
+
 def _report_crash(core: GatewayCore, call: Call, entry: EndpointEntry) -> None:
     """Reports to all VMs, in the background, that an endpoint failed during a call."""
     incarnation = f"{entry.name}@{entry.started_ms}"
