Stop calls with a part of their prompts that crashes endpoints

Callers saw model calls fail for minutes: calls with one part of their prompts crashed one endpoint after the other, each with all sound calls there, and were passed on at all gateways.

Cause: a call that crashes endpoints was recognised by path, key and body alone. Calls that share only the part all have other digests, so none was ever reported three times (216 is absent from all logs). The class: a fault is attributed to the whole call, while its cause is something that many calls share.

Ruled out: reports that arrive too late (the store responds all the time), retries (the route has one attempt), endpoints that crash by themselves (the crash follows 40 to 80 ms after a call with the part begins, and such a call has brought no event).

The VMs now share, for each crash, the parts of the calls that had brought no response. A part is convicted by crashes that are apart in time and that it explains best, and cleared by each call that gets a response; a trial ends a wrong conviction. A gateway is ready once it has read the table.

--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -1,18 +1,32 @@
 """Shares the presence of gateways and the crashes of endpoints through the store.
 
-The table ``fleet`` has a row ``vm/NAME`` for each VM that runs a gateway, and a row
-``crash/DIGEST/ENDPOINT`` for each endpoint incarnation that broke the connection
-while it ran a call. The row of a lost VM stays until a new VM with the same name
-overwrites it. The number of VMs is then too high, which only makes the other
-gateways more conservative.
+The table ``fleet`` has a row ``vm/NAME`` for each VM that runs a gateway. A row
+``crash/DIGEST/ENDPOINT`` stands for an endpoint incarnation that broke the connection
+while it ran a call, and a row ``suspect/PART/ENDPOINT`` for one that crashed while it
+had a call with this part of a prompt. A row ``trial/PART/NUMBER`` tells that a VM sends
+a call to try a convicted part. The row of a lost VM stays until a new VM with
+the same name overwrites it. The number of VMs is then too high, which only makes the
+other gateways more conservative. Rows of crashes are removed when they no longer count.
 """
 
+import random
+from collections import OrderedDict
+from collections.abc import Iterable
+
 import msgspec
 
-from verbenagrade.coordination.ports import Changes, Check, PlatformStore, Write
+from verbenagrade.coordination.ports import (
+    Changes,
+    Check,
+    Clock,
+    PlatformStore,
+    Row,
+    Write,
+)
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
+from verbenagrade.state.crash_suspects import SUSPICION_S, CrashSuspects
 from verbenagrade.state.poison_calls import PoisonCalls
 
 __all__ = ["FLEET_TABLE", "GatewayFleet"]
@@ -25,40 +39,82 @@
 """Largest number of crashes that a VM keeps to write them again, about 150 bytes
 each; the one seen longest ago is dropped."""
 
+MAX_REMOVALS = 1_000
+"""Largest number of rows that a VM keeps in order to remove them from the store."""
+
+MAX_CRASHES = 20_000
+"""Largest number of crashes whose times are known, about 250 bytes each; the rows of
+others stay until a full read of the table finds that they have expired."""
+
+EXPECTED_REMOVERS = 2.0
+"""Expected number of VMs that remove an expired row. If none does, the next full read
+of the table finds it again."""
+
+MAX_ROWS_PER_COMMIT = 50
 CRASH_KEY_PARTS = 3
 
 
+class CrashRow(msgspec.Struct, frozen=True):
+    """The value of a row of a crash: its time on the store's clock, in seconds.
+
+    It is ``None`` in rows of builds that did not write it.
+    """
+
+    at_s: float | None = None
+
+
 class GatewayFleet:
     """The VMs that run gateways, and the calls that crashed endpoints.
 
     ``vms`` contains the names of all VMs, this one included. ``eras`` tells when the
     store has lost recent rows; this VM then writes again what it wrote before.
     ``own_reports`` are the keys of the crashes that this VM saw, each with the era in
-    which its row was written, or ``NO_ERA``.
+    which its row was written, or ``NO_ERA``. ``crash_times`` has the time of each
+    crash that counts, by the key of its row, in seconds on ``clock``. ``removals`` are
+    the keys of rows to remove, and ``claims`` the parts that this VM is about to try.
+    ``loaded`` is true once the table was read.
     """
 
     def __init__(
-        self, table: PlatformStore, vm: str, incarnation: str, eras: StoreEras
+        self,
+        table: PlatformStore,
+        vm: str,
+        incarnation: str,
+        eras: StoreEras,
+        clock: Clock,
     ) -> None:
         self.table = table
         self.vm = vm
         self.incarnation = incarnation
         self.eras = eras
+        self.clock = clock
         self.vms: set[str] = {vm}
         self.poison_calls = PoisonCalls()
+        self.suspects = CrashSuspects()
         self.announced_in = NO_ERA
         self.own_reports: dict[str, int] = {}
+        self.crash_times: OrderedDict[str, float] = OrderedDict()
+        self.removals: OrderedDict[str, None] = OrderedDict()
+        self.claims: set[str] = set()
+        self.random = random.Random(incarnation)
+        self.store_time_offset_s: float | None = None
+        self.loaded = False
 
     def apply(self, changes: Changes) -> None:
         """Applies changes of the table to the local state."""
+        self._learn_store_time(changes.store_time_s)
         if changes.complete and not changes.restored:
             self.vms = {self.vm}
+            self._forget_absent({row.key for row in changes.rows})
         for row in changes.rows:
-            self._apply_row(row.key)
+            self._apply_row(row)
         for key in changes.removed:
             kind, _, name = key.removeprefix(f"{FLEET_TABLE}//").partition("/")
             if kind == "vm" and name != self.vm:
                 self.vms.discard(name)
+            elif kind != "vm":
+                self.forget_crash(key)
+        self.loaded = True
 
     async def announce(self) -> None:
         """Writes this VM's row, once for each incarnation and era of the store.
@@ -69,7 +125,7 @@
         if self.announced_in != era:
             key = f"{FLEET_TABLE}//vm/{self.vm}"
             value = msgspec.json.encode(self.incarnation)
-            await self.table.commit((), (Write(key, value),))
+            await self._commit((Write(key, value),))
             self.announced_in = era
 
     async def withdraw(self) -> None:
@@ -79,7 +135,7 @@
         """
         key = f"{FLEET_TABLE}//vm/{self.vm}"
         try:
-            await self.table.commit((), (Write(key, None),))
+            await self._commit((Write(key, None),))
         except PlatformError as error:
             log_event(Event.PLATFORM_AWAY, table=FLEET_TABLE, reason=str(error))
 
@@ -89,36 +145,224 @@
         ``digest`` identifies the call. If the store does not respond, the failure
         is logged, and ``write_reports`` tries again.
         """
-        if not self.poison_calls.record_crash(digest, endpoint):
-            return
-        key = f"{FLEET_TABLE}//crash/{digest}/{endpoint}"
-        self.own_reports[key] = NO_ERA
-        while len(self.own_reports) > MAX_OWN_REPORTS:
-            self.own_reports.pop(next(iter(self.own_reports)))
+        if self.poison_calls.record_crash(digest, endpoint):
+            await self._report((f"{FLEET_TABLE}//crash/{digest}/{endpoint}",))
+
+    async def report_suspects(
+        self, parts: Iterable[str], endpoint: str, at: float
+    ) -> None:
+        """Records that an endpoint incarnation crashed while it had calls with parts.
+
+        ``at`` is the time of the crash, in seconds. If the store does not respond, the
+        failure is logged, and ``write_reports`` tries again.
+        """
+        keys = tuple(
+            f"{FLEET_TABLE}//suspect/{part}/{endpoint}"
+            for part in parts
+            if self.suspects.record_crash(part, endpoint, at)
+        )
+        for key in keys:
+            self.crash_times[key] = at
+        await self._report(keys)
+
+    def record_survival(self, parts: tuple[str, ...], sent_at: float) -> bool:
+        """Records that a call shows its parts to be sound; it was sent at ``sent_at``.
+
+        Returns whether rows held crashes against them, which ``write_removals``
+        removes.
+        """
+        cleared = self.suspects.record_survival(parts, sent_at)
+        for part in {part for part, _ in cleared}:
+            self._remove_trials(part)
+        for part, endpoint in cleared:
+            key = f"{FLEET_TABLE}//suspect/{part}/{endpoint}"
+            self.crash_times.pop(key, None)
+            self._remove_row(key)
+        return bool(cleared)
+
+    async def try_part(self, part: str) -> bool:
+        """Returns whether this VM may now send a call to try a convicted part.
+
+        Only one VM gets each trial. It is false if the store does not respond.
+        """
+        number = self.suspects.next_trial(part, self.clock())
+        if number is None or part in self.claims:
+            return False
+        key = f"{FLEET_TABLE}//trial/{part}/{number}"
+        self.crash_times[key] = self.clock()
+        self.claims.add(part)
+        try:
+            commit = await self.table.commit(
+                (Check(key, 0),), (Write(key, self._value(key)),)
+            )
+        except PlatformError as error:
+            log_event(Event.CRASH_NOT_REPORTED, rows=1, reason=str(error))
+            return False
+        finally:
+            self.claims.discard(part)
+        self.suspects.record_trial(part, number)
+        return commit.committed
+
+    async def write_removals(self) -> None:
+        """Removes the rows of crashes that no longer count.
+
+        If the store does not respond, the failure is logged, and ``write_reports``
+        tries again.
+        """
         try:
-            await self._write_report(key)
+            await self._write_removals()
         except PlatformError as error:
-            log_event(Event.CRASH_NOT_REPORTED, digest=digest, reason=str(error))
+            log_event(
+                Event.CRASH_NOT_REPORTED, rows=len(self.removals), reason=str(error)
+            )
 
     async def write_reports(self) -> None:
-        """Writes the crashes that this VM saw and the store does not have yet.
+        """Writes and removes the rows of crashes that the store does not have so.
 
-        These are crashes whose row could not be written, and all of them after the
-        store has lost recent rows. Raises ``PlatformError`` if it does not respond.
+        These are crashes whose row could not be written, all of them after the store
+        has lost recent rows, and crashes that no longer count. Raises ``PlatformError``
+        if the store does not respond.
         """
-        for key, era in tuple(self.own_reports.items()):
-            if era != self.eras.number:
-                await self._write_report(key)
+        for key, at in tuple(self.crash_times.items()):
+            if self._is_expired(at):
+                self.forget_crash(key)
+                self._remove_expired(key)
+        await self._write_removals()
+        era = self.eras.number
+        await self._write_rows(
+            tuple(key for key, written in self.own_reports.items() if written != era)
+        )
+
+    def forget_crash(self, key: str) -> None:
+        """Forgets a crash whose row has the key."""
+        self.own_reports.pop(key, None)
+        self.removals.pop(key, None)
+        self.crash_times.pop(key, None)
+        kind, *names = _split_key(key)
+        if len(names) != CRASH_KEY_PARTS - 1:
+            return
+        if kind == "crash":
+            self.poison_calls.forget(*names)
+        elif kind == "suspect":
+            self.suspects.forget(*names)
+        elif kind == "trial":
+            self.suspects.trials.pop(names[0], None)
+
+    def _remove_trials(self, part: str) -> None:
+        """Forgets the trials of a part that was shown to be sound."""
+        for number in range(self.suspects.trials.pop(part, 0)):
+            key = f"{FLEET_TABLE}//trial/{part}/{number}"
+            self.crash_times.pop(key, None)
+            self._remove_row(key)
+
+    async def _write_removals(self) -> None:
+        keys = tuple(self.removals)[:MAX_ROWS_PER_COMMIT]
+        if keys:
+            await self._commit(tuple(Write(key, None) for key in keys))
+        for key in keys:
+            self.removals.pop(key, None)
+
+    async def _report(self, keys: tuple[str, ...]) -> None:
+        """Writes the rows of crashes, or logs that they are to be written later."""
+        for key in keys:
+            self.crash_times.setdefault(key, self.clock())
+            self.own_reports[key] = NO_ERA
+        while len(self.own_reports) > MAX_OWN_REPORTS:
+            self.own_reports.pop(next(iter(self.own_reports)))
+        try:
+            await self._write_rows(keys)
+        except PlatformError as error:
+            log_event(Event.CRASH_NOT_REPORTED, rows=len(keys), reason=str(error))
 
-    async def _write_report(self, key: str) -> None:
+    async def _write_rows(self, keys: tuple[str, ...]) -> None:
         era = self.eras.number
-        await self.table.commit((Check(key, 0),), (Write(key, b"{}"),))
-        if key in self.own_reports:
-            self.own_reports[key] = era
-
-    def _apply_row(self, key: str) -> None:
-        parts = key.removeprefix(f"{FLEET_TABLE}//").split("/")
-        if parts[0] == "vm":
-            self.vms.add("/".join(parts[1:]))
-        elif parts[0] == "crash" and len(parts) == CRASH_KEY_PARTS:
-            self.poison_calls.record_crash(parts[1], parts[2])
+        for start in range(0, len(keys), MAX_ROWS_PER_COMMIT):
+            chunk = keys[start : start + MAX_ROWS_PER_COMMIT]
+            await self._commit(tuple(Write(key, self._value(key)) for key in chunk))
+            for key in chunk:
+                if key in self.own_reports:
+                    self.own_reports[key] = era
+
+    def _value(self, key: str) -> bytes:
+        """Returns the value of the row of a crash."""
+        at, offset_s = self.crash_times.get(key), self.store_time_offset_s
+        if at is None or offset_s is None:
+            return msgspec.json.encode(CrashRow())
+        return msgspec.json.encode(CrashRow(at + offset_s))
+
+    async def _commit(self, writes: tuple[Write, ...]) -> None:
+        commit = await self.table.commit((), writes)
+        self._learn_store_time(commit.store_time_s)
+
+    def _learn_store_time(self, store_time_s: float | None) -> None:
+        if store_time_s is not None:
+            self.store_time_offset_s = store_time_s - self.clock()
+
+    def _remove_row(self, key: str) -> None:
+        """Has a row removed from the store; the oldest such order may be dropped."""
+        self.own_reports.pop(key, None)
+        self.removals[key] = None
+        if len(self.removals) > MAX_REMOVALS:
+            self.removals.popitem(last=False)
+
+    def _remove_expired(self, key: str) -> None:
+        """Has an expired row removed, by about two of all VMs."""
+        if self.random.random() * len(self.vms) < EXPECTED_REMOVERS:
+            self._remove_row(key)
+
+    def _is_expired(self, at: float) -> bool:
+        return self.clock() - at > SUSPICION_S
+
+    def _forget_absent(self, present: set[str]) -> None:
+        """Forgets crashes whose rows were removed while no changes arrived."""
+        for key in tuple(self.crash_times):
+            if key not in present and key not in self.own_reports:
+                self.forget_crash(key)
+
+    def _apply_row(self, row: Row) -> None:
+        kind, *names = _split_key(row.key)
+        if kind == "vm":
+            self.vms.add("/".join(names))
+        elif (
+            kind in ("crash", "suspect", "trial") and len(names) == CRASH_KEY_PARTS - 1
+        ):
+            self._apply_crash(row, kind, *names)
+
+    def _apply_crash(self, row: Row, kind: str, name: str, endpoint: str) -> None:
+        if row.key in self.removals:
+            return
+        at = self._crash_time(row)
+        if self._is_expired(at):
+            self._remove_expired(row.key)
+            return
+        if kind == "crash":
+            self.poison_calls.record_crash(name, endpoint)
+        elif kind == "trial":
+            self._apply_trial(name, endpoint)
+        elif not self.suspects.record_crash(name, endpoint, at):
+            if row.key not in self.crash_times:
+                self._remove_row(row.key)
+            return
+        self.crash_times.setdefault(row.key, at)
+        if len(self.crash_times) > MAX_CRASHES:
+            self.crash_times.popitem(last=False)
+
+    def _apply_trial(self, part: str, number: str) -> None:
+        if number.isdecimal():
+            self.suspects.record_trial(part, int(number))
+
+    def _crash_time(self, row: Row) -> float:
+        """Returns the time of a crash on the clock of this process, in seconds."""
+        now = self.clock()
+        try:
+            at_s = msgspec.json.decode(row.value, type=CrashRow).at_s
+        except msgspec.DecodeError as error:
+            log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
+            at_s = None
+        if at_s is None or self.store_time_offset_s is None:
+            return now
+        return min(now, at_s - self.store_time_offset_s)
+
+
+def _split_key(key: str) -> list[str]:
+    return key.removeprefix(f"{FLEET_TABLE}//").split("/")
--- a/verbenagrade/coordination/ports.py
+++ b/verbenagrade/coordination/ports.py
@@ -151,7 +151,8 @@
     changed ones. If ``restored`` is true too, the store has come back from an older
     copy, and rows may be older than those seen before. ``received_bytes`` is the size
     of the response, and ``superseded`` the number of its rows that a later row of the
-    same response replaces.
+    same response replaces. ``store_time_s`` is the time of the store's steady clock at
+    the response, in seconds, ``None`` if it does not tell it.
     """
 
     version: int
@@ -161,6 +162,7 @@
     restored: bool = False
     received_bytes: int = 0
     superseded: int = 0
+    store_time_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -44,6 +44,8 @@
     CALL_KEPT = (219, logbook.INFO, "call stays at its slow endpoint")
     CALL_FAILED = (218, logbook.ERROR, "call failed unexpectedly")
     CALL_BROKEN_OFF = (220, logbook.INFO, "endpoint broke off while it had a call")
+    ENDPOINT_CRASH_FOUND = (221, logbook.WARNING, "endpoint crashed; calls suspected")
+    PART_TRIED = (222, logbook.INFO, "call sent to try a part that crashed endpoints")
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
     GRANT_DELAYED = (302, logbook.WARNING, "grant not adjusted; platform unavailable")
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -123,8 +123,7 @@
             _check_status("rows-tx", response)
         result = decode_rows(response.body)
         present = tuple(decode_row(row) for row in result.rows if row.ver)
-        store_time_s = None if result.now_ms is None else result.now_ms / MS_PER_S
-        return CommitResult(committed, result.ver, present, store_time_s)
+        return CommitResult(committed, result.ver, present, result.store_time_s())
 
     async def load(self, table: str, accept: AcceptResponse) -> Changes:
         """Reads all rows of a table, page by page.
@@ -140,6 +139,7 @@
             tuple(decode_row(row) for page in pages for row in page.content.rows),
             complete=True,
             received_bytes=sum(page.received_bytes for page in pages),
+            store_time_s=pages[0].content.store_time_s(),
         )
 
     async def follow(
@@ -167,6 +167,7 @@
             tuple(row.path() for row in newest if row.removed),
             received_bytes=page.received_bytes,
             superseded=len(rows) - len(newest),
+            store_time_s=page.content.store_time_s(),
         )
 
     async def _fetch_pages(
--- a/verbenagrade/platform/store_format.py
+++ b/verbenagrade/platform/store_format.py
@@ -18,6 +18,8 @@
     "encode_transaction",
 ]
 
+MS_PER_S = 1000
+
 
 class WireRow(msgspec.Struct, frozen=True):
     """A row in a response of the store; ``value`` is encoded in base64."""
@@ -46,6 +48,10 @@
     ver: int = 0
     now_ms: float | None = None
 
+    def store_time_s(self) -> float | None:
+        """Returns the time of the store's clock in seconds, ``None`` if not told."""
+        return None if self.now_ms is None else self.now_ms / MS_PER_S
+
 
 class WireAddress(msgspec.Struct, frozen=True, omit_defaults=False):
     """The address of a row that a transaction checks, writes or removes."""
--- a/verbenagrade/state/directory.py
+++ b/verbenagrade/state/directory.py
@@ -37,6 +37,11 @@
     warm_up_s: float = 0.0
     started_ms: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """The name of this start of the endpoint."""
+        return f"{self.name}@{self.started_ms}"
+
 
 @dataclass(frozen=True, slots=True)
 class DirectoryChange:
--- a/verbenagrade/state/poison_calls.py
+++ b/verbenagrade/state/poison_calls.py
@@ -42,6 +42,14 @@
             self.endpoints_by_digest.popitem(last=False)
         return endpoint not in known
 
+    def forget(self, digest: str, endpoint: str) -> None:
+        """Forgets that an endpoint incarnation broke the connection."""
+        known = self.endpoints_by_digest.get(digest, frozenset()) - {endpoint}
+        if known:
+            self.endpoints_by_digest[digest] = known
+        else:
+            self.endpoints_by_digest.pop(digest, None)
+
     def is_poison(self, digest: str) -> bool:
         """Returns whether calls with a digest must not be sent again."""
         return len(self.endpoints_by_digest.get(digest, ())) >= MIN_POISON_CRASHES
--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -14,6 +14,7 @@
 from verbenagrade.transport.gateway import refusals
 from verbenagrade.transport.gateway.calls import Call, CallProgress, CallResult
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.crashes import find_cause, is_on_trial
 from verbenagrade.transport.gateway.forwarding import forward
 
 __all__ = ["handle_call"]
@@ -118,8 +119,9 @@
         started_at=started_at,
         deadline=started_at + min(head.timeout_s, route.timeout_s),
     )
-    if core.fleet.poison_calls.is_poison(call.digest):
-        log_event(Event.CALL_CONVICTED, call=head.call_id, digest=call.digest)
+    cause = find_cause(core, call)
+    if cause and not await is_on_trial(core, call, cause):
+        log_event(Event.CALL_CONVICTED, call=head.call_id, cause=cause)
         raise RefusedError(refusals.POISON_CALL)
     return call
 
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -13,6 +13,9 @@
 __all__ = ["Call", "CallProgress", "CallResult"]
 
 
+MAX_PART_NAME_LENGTH = 64
+
+
 @dataclass(frozen=True, slots=True)
 class Call:
     """An admitted call: its complete request, its route and its target service.
@@ -48,6 +51,21 @@
         hasher.update(self.body)
         return hasher.hexdigest()
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Names of the parts of the prompt that other calls may share.
+
+        The last part is the call's own. A name that does not fit into the key of a row
+        is replaced by its hash.
+        """
+        names = (part.name for part in self.head.prompt[:-1])
+        return tuple(
+            name
+            if name.isalnum() and len(name) <= MAX_PART_NAME_LENGTH
+            else xxhash.xxh3_128_hexdigest(name.encode())
+            for name in names
+        )
+
     @property
     def budgeted(self) -> bool:
         """Whether the call is charged to a prepaid budget."""
@@ -62,8 +80,9 @@
     ``placements`` counts the endpoints chosen. ``possible_runs`` counts the
     attempts after which the call may have run. ``successor`` is the endpoint that
     takes over next, for which a retry was taken. ``kept_logged`` is set once it was
-    logged that the call stays at a slow endpoint. Times are in seconds, on the clock
-    of the process.
+    logged that the call stays at a slow endpoint. ``sent_at`` is when the present
+    attempt began, and ``events_before_attempt`` counts the events delivered until then.
+    Times are in seconds, on the clock of the process.
     """
 
     def __init__(self, resume_after: str) -> None:
@@ -76,11 +95,18 @@
         self.kept_logged = False
         self.last_event_id = resume_after
         self.delivered_events = 0
+        self.sent_at = 0.0
+        self.events_before_attempt = 0
         self.granted_at = 0.0
         self.last_event_at = 0.0
         self.longest_event_gap_s = 0.0
         self.first_response_at: float | None = None
 
+    @property
+    def attempt_events(self) -> int:
+        """The number of events that the present attempt has brought."""
+        return self.delivered_events - self.events_before_attempt
+
 
 @dataclass(frozen=True, slots=True)
 class CallResult:
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -18,7 +18,18 @@
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
 
-__all__ = ["GatewayCore"]
+__all__ = ["CrashCheck", "GatewayCore"]
+
+
+class CrashCheck:
+    """A check whether an endpoint has crashed, which began ``at`` a time in seconds.
+
+    ``parts`` are those of the calls that it broke off before they got a response.
+    """
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.parts: set[str] = set()
 
 
 class GatewayCore:
@@ -62,13 +73,13 @@
         self.stopping = False
         self.rejecting_calls = False
         self.background: set[asyncio.Task[None]] = set()
+        self.crash_checks: dict[str, CrashCheck] = {}
 
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send new calls to this process."""
-        return (
-            self.route_index is not None and self.directory_loaded and not self.stopping
-        )
+        loaded = self.directory_loaded and self.fleet.loaded
+        return self.route_index is not None and loaded and not self.stopping
 
     def run_in_background(self, coroutine: Coroutine[None, None, None]) -> None:
         """Runs a coroutine as a task that no caller waits for."""
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -6,9 +6,11 @@
 
 from verbenagrade.exceptions import UpstreamFailedError
 from verbenagrade.protocol.event_stream import EventSplitter
+from verbenagrade.state.crash_suspects import MIN_SURVIVED_EVENTS
 from verbenagrade.state.retries import next_event_timeout_s
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.crashes import record_survival
 from verbenagrade.transport.gateway.handover import may_be_handed_over
 from verbenagrade.transport.gateway.upstream import UpstreamResponse
 
@@ -92,6 +94,7 @@
     ``UpstreamFailedError`` or ``UpstreamTimeoutError`` if the stream ended early.
     """
     splitter = EventSplitter()
+    survived = False
     may_resume = may_be_handed_over(call, progress)
     while True:
         remaining_s = max(0.0, call.deadline - core.clock())
@@ -109,8 +112,13 @@
             _record_event_gap(progress, core.clock())
             progress.delivered_events += events.count
             progress.last_event_id = events.last_id or progress.last_event_id
+        if not survived and progress.attempt_events >= MIN_SURVIVED_EVENTS:
+            survived = True
+            record_survival(core, call, progress.sent_at)
     if splitter.incomplete:
         raise UpstreamFailedError("the stream ended in the middle of an event")
+    if not survived and progress.attempt_events:
+        record_survival(core, call, progress.sent_at)
     await writer.write(upstream, b"")
     await writer.response.write_eof()
     return writer.response
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from verbenagrade.transport.gateway import refusals
 from verbenagrade.transport.gateway.calls import Call, CallProgress, CallResult
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.crashes import find_cause, record_broken_call
 from verbenagrade.transport.gateway.delivery import (
     ResponseWriter,
     deliver_plain,
@@ -64,6 +65,10 @@
     """
     writer = ResponseWriter(core, request, call)
     while True:
+        cause = find_cause(core, call) if progress.placements else ""
+        if cause:
+            log_event(Event.CALL_CONVICTED, call=call.head.call_id, cause=cause)
+            return _fail_call(core, call, progress, writer, refusals.POISON_CALL)
         entry = _choose_endpoint(core, call, progress)
         if entry is None:
             return _fail_call(core, call, progress, writer, refusals.NO_ENDPOINT)
@@ -120,7 +125,8 @@
     Raises ``SendFailedError`` if there is no complete response.
     """
     patience_s = _first_response_patience_s(core, call, progress, entry)
-    events_before = progress.delivered_events
+    progress.sent_at = core.clock()
+    progress.events_before_attempt = progress.delivered_events
     core.placement.sent(entry, call.head.call_id, call.shape, core.clock())
     if progress.placements == 1:
         core.retry_budget(call.service).record_first_send(core.clock())
@@ -138,8 +144,7 @@
     except UpstreamTimeoutError as error:
         raise SendFailedError(Failure.SILENT, str(error)) from error
     except UpstreamFailedError as error:
-        _log_broken_off(call, entry, progress.delivered_events - events_before)
-        _report_crash(core, call, entry)
+        record_broken_call(core, call, entry, progress.attempt_events)
         raise SendFailedError(Failure.BROKEN, str(error)) from error
     except asyncio.CancelledError:
         failed = False
@@ -263,31 +268,10 @@
         return ForwardResult(writer.response, result)
     if progress.outcome.state == "sent":
         progress.outcome.advance("break_off")
-        if refusal is refusals.NO_ENDPOINT:
+        if refusal in (refusals.NO_ENDPOINT, refusals.POISON_CALL):
             refusal = refusals.ENDPOINT_FAILED
     else:
         progress.outcome.advance("refuse")
     headers = dict(core.call_format.refusal_headers(call.head.call_id))
     response = refusals.refusal_response(refusal, headers, core.random)
     return ForwardResult(response, CallResult(refusal.status, refusal.reason))
-
-
-def _log_broken_off(call: Call, entry: EndpointEntry, events: int) -> None:
-    """Logs what is needed to find out which part of a call crashes endpoints.
-
-    ``events`` is the number of events that arrived from this endpoint.
-    """
-    log_event(
-        Event.CALL_BROKEN_OFF,
-        call=call.head.call_id,
-        endpoint=entry.name,
-        started_ms=entry.started_ms,
-        parts=[part.name for part in call.head.prompt],
-        events=events,
-    )
-
-
-def _report_crash(core: GatewayCore, call: Call, entry: EndpointEntry) -> None:
-    """Reports to all VMs, in the background, that an endpoint failed during a call."""
-    incarnation = f"{entry.name}@{entry.started_ms}"
-    core.run_in_background(core.fleet.report_crash(call.digest, incarnation))
--- a/verbenagrade/transport/gateway/handover.py
+++ b/verbenagrade/transport/gateway/handover.py
@@ -5,7 +5,6 @@
 accepts a connection. Otherwise the gateway goes on waiting, up to the deadline.
 """
 
-import asyncio
 from collections.abc import Callable
 
 from verbenagrade.events import Event, log_event
@@ -14,6 +13,7 @@
 from verbenagrade.state.retries import Failure, is_retry_allowed
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.crashes import accepts_connection
 
 __all__ = ["hand_over", "may_be_handed_over"]
 
@@ -61,28 +61,13 @@
     entries = core.endpoints(call.service)
     successor = core.placement.choose(entries, excluded, call.shape, now)
     timeout_s = min(core.settings.tuning.connect_s, call.deadline - now)
-    if successor is None or not await _accepts_connection(
+    if successor is None or not await accepts_connection(
         core, successor.endpoint, timeout_s
     ):
         return None
     return successor
 
 
-async def _accepts_connection(
-    core: GatewayCore, entry: EndpointEntry, timeout_s: float
-) -> bool:
-    host, _, port = entry.address.rpartition(":")
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError) as error:
-        core.placement.unreachable(entry, core.clock())
-        log_event(Event.ENDPOINT_UNREACHABLE, endpoint=entry.name, reason=repr(error))
-        return False
-    writer.close()
-    return True
-
-
 def _log_kept_call(call: Call, progress: CallProgress, entry: EndpointEntry) -> None:
     """Logs once for each call that it stays at a slow endpoint."""
     if not progress.kept_logged:
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -113,7 +113,7 @@
                 eras,
                 spending,
             ),
-            fleet=GatewayFleet(self.table, settings.vm, incarnation, eras),
+            fleet=GatewayFleet(self.table, settings.vm, incarnation, eras, self.clock),
             placement=PlacementTable(
                 VmLocation(settings.data_centre, settings.regions), seed
             ),
