--- a/verbenagrade/coordination/spending_reports.py
+++ b/verbenagrade/coordination/spending_reports.py
@@ -65,7 +65,8 @@
     lost; it is sent again unchanged until its outcome is known, because a newer one
     would restart the time after which all tokens can be reserved. ``closed`` are the
     earlier incarnations whose grants may not have been returned yet. ``superseded`` is
-    true if another process has taken over the row.
+    true if another process has taken over the row. ``started_at`` is a time at which
+    this process was running, in seconds.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.identity = identity
         self.clock = clock
         self.eras = eras
+        self.started_at = clock()
         self.enter_era()
 
     def enter_era(self) -> None:
@@ -150,11 +152,12 @@
             self.closed = earlier.closed
             await self._take_row(row.version)
             return
-        # Written unchanged, the row tells the time of the store, at which the earlier
-        # process had ended, and no late report of that process is committed any more.
+        # Written unchanged, the row tells the time of the store, and no late report of
+        # the earlier process is committed any more. That one ended before this began.
+        running_s = self.clock() - self.started_at
         commit = await self._commit(row.version, earlier)
         if commit.store_time_s is not None:
-            self.closed = self._close(earlier, commit.store_time_s)
+            self.closed = self._close(earlier, commit.store_time_s - running_s)
         await self._take_row(commit.version)
 
     async def report(self, budgets: Mapping[str, ReportedBudget]) -> None:
--- a/verbenagrade/coordination/tests/test_lost_vms.py
+++ b/verbenagrade/coordination/tests/test_lost_vms.py
@@ -21,6 +21,7 @@
     DrillStore,
     FakeClock,
     Fleet,
+    granted_in_era,
 )
 from verbenagrade.exceptions import (
     BudgetExhaustedError,
@@ -137,6 +138,22 @@
     assert served >= LEAST_SERVED_FRACTION * came
 
 
+# Guards against an outage that outlasts the return of a VM and counts as time in which
+# the VM before it spent.
+async def test_time_in_which_the_new_process_waits_for_the_store_does_not_count():
+    fleet = Fleet()
+    await fleet.advance(2)
+    held = fleet.managers[0].accounts[BUDGET].allowance.free
+    granted = granted_in_era(fleet.store, 1)
+    fleet.clock.now += RETURN_S
+    fleet.managers[0] = fleet.start(0)
+    fleet.clock.now += 20.0
+    await fleet.managers[0].report_spending()
+    returned = granted - granted_in_era(fleet.store, 1)
+    assert held > 0
+    assert returned > 0.75 * held
+
+
 class LossMachine(RuleBasedStateMachine):
     """Interleaves calls with losses of VMs at any moment and troubles of the store.
 
