Bound the memory and the time of responses without end

An endpoint in trouble may send bytes until its caller closes, in a head or a body. An event of more than 1 MiB now fails the response. Reading also checks the deadline itself, since a timeout never ends the reading of a response of which more has always arrived.

A stream without a length whose connection ends before its first event was taken for a complete one; it is now one that broke off. Tests of heads, bodies and streams without end hold for the rest: heads are bounded by the HTTP library, plain bodies are passed on above 1 MiB as fast as their caller reads.

--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -27,13 +27,14 @@
     """An endpoint that records the requests that it received.
 
     ``early_disconnects`` counts the requests whose connection was closed by the other
-    side before the handler had finished.
+    side before the handler had finished, ``open_requests`` those that are handled now.
     """
 
     name: str
     handlers: list = field(default_factory=list)
     requests: list = field(default_factory=list)
     early_disconnects: int = 0
+    open_requests: int = 0
     address: str = ""
     server: asyncio.Server | None = None
 
@@ -58,6 +59,7 @@
         }
 
     async def _serve(self, reader, writer):
+        self.open_requests += 1
         try:
             request = await _read_request(reader)
             self.requests.append(request)
@@ -76,6 +78,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.open_requests -= 1
             writer.close()
 
 
@@ -197,3 +200,23 @@
 
 def _write_chunk(writer, data: bytes) -> None:
     writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+def endless(start=b"", repeated=b"x" * 4096, head=True, chunked=False):
+    """Sends ``start``, and then ``repeated`` until the connection is closed.
+
+    They follow a response head if ``head`` is set, and are chunks if ``chunked`` is.
+    """
+
+    async def handle(request, writer):
+        if head:
+            encoding = {"Transfer_Encoding": "chunked"} if chunked else {}
+            writer.write(_response_head(request, **encoding))
+        writer.write(start)
+        data = b"%x\r\n%s\r\n" % (len(repeated), repeated) if chunked else repeated
+        while not writer.is_closing():
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    return handle
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from verbenagrade.exceptions import UpstreamFailedError
+from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
 from verbenagrade.protocol.event_stream import EventSplitter
 from verbenagrade.state.crash_suspects import MIN_SURVIVED_EVENTS
 from verbenagrade.state.retries import next_event_timeout_s
@@ -21,6 +21,11 @@
 are passed on, so that the call can still be retried if the response breaks off."""
 
 
+MAX_EVENT_BYTES = 1_048_576
+"""Largest size of one event of a stream. Only complete events are passed on, so that
+this is what a stream keeps in memory."""
+
+
 class ResponseWriter:
     """Writes the response to the caller.
 
@@ -68,7 +73,7 @@
     """
     body = bytearray()
     on_data()
-    while data := await upstream.read_chunk(max(0.0, call.deadline - core.clock())):
+    while data := await upstream.read_chunk(_remaining_s(core, call)):
         body += data
         if writer.response is not None or len(body) > MAX_BUFFERED_BYTES:
             await writer.write(upstream, bytes(body))
@@ -97,7 +102,7 @@
     survived = False
     may_resume = may_be_handed_over(call, progress)
     while True:
-        remaining_s = max(0.0, call.deadline - core.clock())
+        remaining_s = _remaining_s(core, call)
         if may_resume:
             patience_s = next_event_timeout_s(call.route.target_gap_s, remaining_s)
             data = await upstream.read_or_hand_over(patience_s)
@@ -106,6 +111,8 @@
         if not data:
             break
         events = splitter.feed(data)
+        if len(splitter.incomplete) > MAX_EVENT_BYTES:
+            raise UpstreamFailedError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         if events.count:
             on_data()
             await writer.write(upstream, events.data)
@@ -117,6 +124,8 @@
             record_survival(core, call, progress.sent_at)
     if splitter.incomplete:
         raise UpstreamFailedError("the stream ended in the middle of an event")
+    if not progress.delivered_events and upstream.ends_with_connection:
+        raise UpstreamFailedError("the stream ended before its first event")
     if not survived and progress.attempt_events:
         record_survival(core, call, progress.sent_at)
     await writer.write(upstream, b"")
@@ -124,6 +133,18 @@
     return writer.response
 
 
+def _remaining_s(core: GatewayCore, call: Call) -> float:
+    """Returns the time left for a call, in seconds.
+
+    Raises ``UpstreamTimeoutError`` if there is none: a timeout alone never ends the
+    reading of a response of which more has always arrived already.
+    """
+    remaining_s = call.deadline - core.clock()
+    if remaining_s <= 0:
+        raise UpstreamTimeoutError("the response did not end in time")
+    return remaining_s
+
+
 def _record_event_gap(progress: CallProgress, now: float) -> None:
     """Updates the longest time between events, for the log line of the call."""
     if progress.delivered_events:
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -119,6 +119,12 @@
         self.closed = opened.closed
         self.head = head
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether nothing but the end of the connection shows the end of the body."""
+        headers = self.response.headers
+        return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+
     async def read_chunk(self, timeout_s: float) -> bytes:
         """Returns the next bytes of the body, empty at its end.
 
