Refuse calls that wait for a silent store together, not one after the other

Callers waited for seconds and were refused then. Calls of one workspace that need the store wait for each other; once it was silent, each tried it anew for the whole timeout. After the calls before it, a call now looks again whether the store responds, and is refused at once if it does not.

The test took 2 s with a timeout of 0.1 s, and takes less than 0.35 s now.

--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -145,22 +145,13 @@
             account.allowance.record_demand(bound, self.clock())
             self._schedule_refill_if_low(account)
             return
-        if self._is_store_unavailable():
-            account.allowance.record_demand(
-                int(REFUSED_DEMAND_FRACTION * bound), self.clock()
-            )
-            self._schedule_refill(account)
-            raise UnavailableError(
-                f"{workspace} has {self._reservable(account)} tokens here, {bound} are"
-                " needed; retry when the store responds"
-            )
+        self._refuse_if_unavailable(account, bound)
         async with account.lock:
-            try:
-                granted = await self._reserve_from_store(account, bound)
-                self.failed_at = float("-inf")
-            except PlatformError as error:
-                self.failed_at = self.clock()
-                raise UnavailableError(f"no grant: {error}") from error
+            granted = self._reserve_locally(account, bound)
+            if not granted:
+                # The store may not have responded to the calls that waited before.
+                self._refuse_if_unavailable(account, bound)
+                granted = await self._ask_store(account, bound)
         if granted:
             account.allowance.record_demand(bound, self.clock())
         elif self._awaits_earlier_grant(workspace):
@@ -173,6 +164,28 @@
                 f"{workspace} has {left} tokens left, {bound} are needed; top up"
             )
 
+    def _refuse_if_unavailable(self, account: BudgetAccount, bound: int) -> None:
+        """Raises ``UnavailableError`` if the store has failed to respond recently."""
+        if not self._is_store_unavailable():
+            return
+        demand = int(REFUSED_DEMAND_FRACTION * bound)
+        account.allowance.record_demand(demand, self.clock())
+        self._schedule_refill(account)
+        raise UnavailableError(
+            f"{account.workspace} has {self._reservable(account)} tokens here, {bound}"
+            " are needed; retry when the store responds"
+        )
+
+    async def _ask_store(self, account: BudgetAccount, bound: int) -> bool:
+        """Reserves the bound with the help of the store, if the budget has enough."""
+        try:
+            granted = await self._reserve_from_store(account, bound)
+        except PlatformError as error:
+            self.failed_at = self.clock()
+            raise UnavailableError(f"no grant: {error}") from error
+        self.failed_at = float("-inf")
+        return granted
+
     async def prefetch_grants(self) -> None:
         """Obtains initial grants on the largest budgets before there is demand."""
         largest = sorted(self.accounts.values(), key=lambda it: -it.prepaid)
@@ -238,7 +251,7 @@
         try:
             for _ in range(MAX_REPORTS_PER_CALL):
                 async with self.report_lock:
-                    if not self._exceeds_limit(account):
+                    if not self._exceeds_limit(account) or self._is_store_unavailable():
                         break
                     await self.spending.report(self._reported_budgets())
             covered = not self._exceeds_limit(account)
--- a/verbenagrade/coordination/tests/test_lost_vms.py
+++ b/verbenagrade/coordination/tests/test_lost_vms.py
@@ -14,6 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.ports import PlatformStore
 from verbenagrade.coordination.spending_reports import SpendingReports, VmIdentity
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.coordination.tests.test_store_eras import (
@@ -154,6 +155,28 @@
     assert returned > 0.75 * held
 
 
+# Guards against calls that wait one after the other for a store that is silent.
+async def test_calls_that_wait_for_a_silent_store_are_refused_together():
+    fleet = Fleet()
+    await fleet.advance(2)
+    manager = fleet.managers[0]
+    loop = asyncio.get_running_loop()
+
+    async def time_out(*_args):
+        await asyncio.sleep(0.1)
+        raise PlatformError("no response")
+
+    table = PlatformStore(time_out, time_out, time_out, None, None)
+    manager.table = manager.spending.table = manager.grant_transactions.table = table
+    free = manager.accounts[BUDGET].allowance.free
+    started_at = loop.time()
+    sizes = [*[free] * 10, *[free + 100] * 10]
+    calls = (manager.reserve(BUDGET, size) for size in sizes)
+    results = await asyncio.gather(*calls, return_exceptions=True)
+    assert {type(result) for result in results} == {UnavailableError}
+    assert loop.time() - started_at < 0.35
+
+
 class LossMachine(RuleBasedStateMachine):
     """Interleaves calls with losses of VMs at any moment and troubles of the store.
 
