Refuse calls from their heads, and bound the bytes of all bodies

With a key the bodies of all calls share 0.3 of the memory beyond that of the idle process; calls beyond that get 503 and are not sent. A body whose announced size is over the limit is refused unread. Checks are made again after the body has been read, since the configuration may have changed meanwhile.

--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -29,6 +29,12 @@
 """Memory of the process without calls, and of each call in flight with its buffers,
 in MB. They limit the number of calls in flight."""
 
+BODY_MEMORY_FRACTION = 0.3
+"""Fraction of the memory beyond that of the idle process that the bodies of all calls
+may take. While a body is sent to an endpoint it is there twice."""
+
+BYTES_PER_MB = 1_000_000
+
 
 class RefusedError(Exception):
     """A call is refused; ``refusal`` is the response that its caller gets."""
@@ -78,6 +84,7 @@
         raise
     finally:
         core.in_flight -= 1
+        core.body_bytes.release(id(request))
 
 
 def _read_head(core: GatewayCore, request: web.BaseRequest) -> CallHead:
@@ -99,13 +106,13 @@
         raise RefusedError(refusals.STOPPING)
     if index is None:
         raise RefusedError(refusals.NO_CONFIGURATION)
-    body = await _read_body(request, index.configuration.limits.body_bytes)
+    # A call that its head shows to be refused is not worth the memory for its body.
+    _find_workspace(core, index, _find_route(core, index, head), head)
+    _check_load(core)
+    body = await _read_body(core, request, index.configuration.limits.body_bytes)
     index = core.route_index
     route = _find_route(core, index, head)
     workspace = _find_workspace(core, index, route, head)
-    limit = (core.settings.memory_mb - IDLE_PROCESS_MEMORY_MB) / MEMORY_PER_CALL_MB
-    if core.in_flight > max(1.0, limit):
-        raise RefusedError(refusals.OVERLOADED)
     service = _choose_service(core, route)
     call = Call(
         head=head,
@@ -126,12 +133,30 @@
     return call
 
 
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes:
+def _check_load(core: GatewayCore) -> None:
+    """Refuses a call if the calls in flight need all memory."""
+    memory_mb = core.settings.memory_mb - IDLE_PROCESS_MEMORY_MB
+    if core.in_flight > max(1.0, memory_mb / MEMORY_PER_CALL_MB):
+        raise RefusedError(refusals.OVERLOADED)
+
+
+async def _read_body(core: GatewayCore, request: web.BaseRequest, limit: int) -> bytes:
+    """Reads the body of a call, while the bodies of all calls have room in memory.
+
+    The body counts until ``handle_call`` has served the call.
+    """
+    if (request.content_length or 0) > limit:
+        raise RefusedError(refusals.BODY_TOO_LARGE)
+    memory_mb = core.settings.memory_mb - IDLE_PROCESS_MEMORY_MB
+    max_bytes = max(limit, int(memory_mb * BODY_MEMORY_FRACTION * BYTES_PER_MB))
     body = bytearray()
     async for chunk in request.content.iter_any():
         body += chunk
+        core.body_bytes.add(id(request), len(chunk))
         if len(body) > limit:
             raise RefusedError(refusals.BODY_TOO_LARGE)
+        if core.body_bytes.total > max_bytes:
+            raise RefusedError(refusals.OVERLOADED, "bodies of calls need all memory")
     return bytes(body)
 
 
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -18,7 +18,27 @@
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
 
-__all__ = ["CrashCheck", "GatewayCore"]
+__all__ = ["BodyBytes", "CrashCheck", "GatewayCore"]
+
+
+class BodyBytes:
+    """The bytes of the bodies of all calls in flight; ``total`` is their sum.
+
+    Calls are numbered by their callers; a number may be used again after ``release``.
+    """
+
+    def __init__(self) -> None:
+        self.by_call: dict[int, int] = {}
+        self.total = 0
+
+    def add(self, call: int, count: int) -> None:
+        """Adds bytes of the body of a call."""
+        self.by_call[call] = self.by_call.get(call, 0) + count
+        self.total += count
+
+    def release(self, call: int) -> None:
+        """Forgets the body of a call that has ended."""
+        self.total -= self.by_call.pop(call, 0)
 
 
 class CrashCheck:
@@ -70,6 +90,7 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.metrics = GatewayMetrics()
         self.in_flight = 0
+        self.body_bytes = BodyBytes()
         self.stopping = False
         self.rejecting_calls = False
         self.background: set[asyncio.Task[None]] = set()
