--- a/verbenagrade/coordination/tests/test_store_eras.py
+++ b/verbenagrade/coordination/tests/test_store_eras.py
@@ -237,6 +237,16 @@
         # Each VM reaches the store before the next drill.
         self.loop.run_until_complete(self.fleet.advance(2))
 
+    @rule()
+    def come_back_twice(self):
+        self.fleet.store.come_back()
+        self.fleet.store.come_back()
+        self.loop.run_until_complete(self.fleet.advance(2))
+
+    @rule()
+    def come_back_unnoticed(self):
+        self.fleet.store.come_back()
+
     @rule(fault=st.sampled_from(["lost", "delayed"]))
     def fail_next_commit(self, fault):
         self.fleet.store.fault = fault
