Release reported tokens by time and by new grants, so that outages cost less

The limit rose from the first second on although no next process takes over before about 2 s, and tokens of a new grant needed a second write before a call could use them.

Now what a next process must count anyway can be reserved at once, the rest is released from 2.2 to 5 s, and a new grant can be used at once: the row of the grant tells of it. A return therefore must leave in the row what was spent beyond the last report.

--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -262,18 +262,20 @@
 def decode_cached_row(
     row: Row | None,
     incarnation: str,
-    spent_at_most: Callable[[str], int | None] = lambda _incarnation: None,
+    spent_at_most: Callable[[str, int], int | None] = lambda _incarnation, _tokens: (
+        None
+    ),
 ) -> CachedRow:
     """Decodes a row of the store; ``None`` stands for an absent row.
 
-    If another incarnation wrote the row, ``spent_at_most`` tells how many tokens that
-    one can have spent, ``None`` if it may have spent all.
+    If another incarnation wrote the row, ``spent_at_most`` tells how many of its tokens
+    that one can have spent, ``None`` if it may have spent all.
     """
     if row is None:
         return CachedRow()
     value = msgspec.json.decode(row.value, type=GrantRow)
     if value.incarnation != incarnation:
-        bound = spent_at_most(value.incarnation)
+        bound = spent_at_most(value.incarnation, value.tokens)
         spent = value.tokens if bound is None else min(value.tokens, bound)
         spent = max(spent, value.spent)
         return CachedRow(
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -260,8 +260,21 @@
                 account.allowance.release(bound)
         return covered
 
-    def _exceeds_limit(self, account: BudgetAccount) -> bool:
-        limit = self._spending_limit(account)
+    async def _may_return(self, account: BudgetAccount, surplus: int) -> bool:
+        """Returns whether reports cover the spending if the surplus is returned.
+
+        What was granted since a report may have been spent beyond it. Once returned, it
+        no longer shows in the row. Raises ``PlatformError`` if a report is needed and
+        the store does not respond.
+        """
+        if self._exceeds_limit(account, surplus):
+            async with self.report_lock:
+                await self.spending.report(self._reported_budgets())
+        return not self._exceeds_limit(account, surplus)
+
+    def _exceeds_limit(self, account: BudgetAccount, surplus: int = 0) -> bool:
+        """Returns whether more is committed than reports cover without a surplus."""
+        limit = self._spending_limit(account, surplus)
         return limit is not None and account.allowance.committed > limit
 
     def _reserve_locally(self, account: BudgetAccount, bound: int) -> bool:
@@ -276,10 +289,11 @@
             return free
         return max(0, min(free, limit - account.allowance.committed))
 
-    def _spending_limit(self, account: BudgetAccount) -> int | None:
+    def _spending_limit(self, account: BudgetAccount, surplus: int = 0) -> int | None:
         if self.spending is None:
             return None
-        return self.spending.limit(account.workspace, self.clock())
+        granted = account.allowance.granted - surplus
+        return self.spending.limit(account.workspace, granted, self.clock())
 
     def _awaits_earlier_grant(self, workspace: str) -> bool:
         """Returns whether tokens of an earlier incarnation may still be returned."""
@@ -486,7 +500,7 @@
             for _ in range(MAX_TRANSACTIONS_PER_TRANSFER):
                 surplus = max(0, surplus_of(account))
                 rest = account.own.tokens - account.allowance.granted + surplus
-                if rest <= 0:
+                if rest <= 0 or not await self._may_return(account, surplus):
                     return
                 account.allowance.granted -= surplus
                 if await self.grant_transactions.transfer(account, 0, -rest):
--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -148,7 +148,9 @@
         return decode_cached_row(
             row,
             self.incarnation,
-            lambda earlier: spending.spent_at_most(earlier, account.workspace),
+            lambda earlier, tokens: spending.spent_at_most(
+                earlier, account.workspace, tokens
+            ),
         )
 
     async def return_earlier(self, account: BudgetAccount) -> bool:
--- a/verbenagrade/coordination/spending_reports.py
+++ b/verbenagrade/coordination/spending_reports.py
@@ -103,32 +103,40 @@
         """Whether the row is this process's own in the present era."""
         return self.version is not None and self.era == self.eras.number
 
-    def limit(self, workspace: str, now: float) -> int | None:
+    def limit(self, workspace: str, granted: int, now: float) -> int | None:
         """Returns the most that may be spent and reserved in total, in tokens.
 
         It is ``None`` if no report that may be in the store binds the workspace.
-        ``now`` is in seconds.
+        ``granted`` is the number of tokens granted so far; ``now`` is in seconds.
         """
         if self.superseded:
             return 0
         limits = (
-            budget.committed + spendable_since(budget, now - sent.sent_at)
+            budget.committed
+            + spendable_since(budget, now - sent.sent_at)
+            + max(0, granted - budget.granted)
             for sent in (self.confirmed, self.unconfirmed)
             if sent is not None
             and (budget := sent.report.budgets.get(workspace)) is not None
         )
         return min(limits, default=None)
 
-    def spent_at_most(self, incarnation: str, workspace: str) -> int | None:
-        """Returns the most that an earlier incarnation spent, ``None`` if unknown."""
+    def spent_at_most(
+        self, incarnation: str, workspace: str, granted: int
+    ) -> int | None:
+        """Returns the most that an earlier incarnation spent, ``None`` if unknown.
+
+        ``granted`` is the number of tokens that it was granted.
+        """
         for closed in self.closed:
             if closed.incarnation == incarnation:
-                return closed.tokens.get(workspace)
+                budget = closed.budgets.get(workspace)
+                return None if budget is None else budget.spent_at_most(granted)
         return None
 
     def held_by_earlier(self) -> frozenset[str]:
         """Returns the workspaces that earlier incarnations may hold grants of."""
-        return frozenset(name for closed in self.closed for name in closed.tokens)
+        return frozenset(name for closed in self.closed for name in closed.budgets)
 
     async def take_over(self) -> None:
         """Takes over the row of this VM and bounds what its earlier process spent.
@@ -184,11 +192,11 @@
         remaining = (
             ClosedSpending(
                 closed.incarnation,
-                {k: v for k, v in closed.tokens.items() if k != workspace},
+                {k: v for k, v in closed.budgets.items() if k != workspace},
             )
             for closed in self.closed
         )
-        self.closed = tuple(closed for closed in remaining if closed.tokens)
+        self.closed = tuple(closed for closed in remaining if closed.budgets)
 
     def _make_report(
         self, budgets: Mapping[str, ReportedBudget]
@@ -215,7 +223,7 @@
             Event.SPENDING_BOUNDED,
             incarnation=earlier.incarnation,
             age_s=round(now_s - earlier.reported_at_s, 3),
-            workspaces=len(closed.tokens),
+            workspaces=len(closed.budgets),
         )
         return (closed, *earlier.closed)[:MAX_CLOSED]
 
--- a/verbenagrade/state/spending.py
+++ b/verbenagrade/state/spending.py
@@ -13,6 +13,7 @@
 from verbenagrade.state.allowance import Allowance
 
 __all__ = [
+    "ClosedBudget",
     "ClosedSpending",
     "ReportedBudget",
     "SpendingReport",
@@ -21,19 +22,20 @@
     "spent_at_most",
 ]
 
-AT_ONCE_FRACTION = 0.25
-AT_ONCE_DEMAND_S = 2.0
-"""A VM may reserve at once after a report this fraction of its free tokens, or the
-demand of so many seconds if that is less."""
+AT_ONCE_FRACTION = 0.35
+AT_ONCE_IDLE_FRACTION = 0.1
+AT_ONCE_DEMAND_S = 3.0
+"""A VM may reserve at once after a report the demand of so many seconds, but at least
+the smaller and at most the larger of these fractions of its free tokens."""
 
 SMALL_GRANT_FRACTION = 1 / 400
 """Free tokens up to this fraction of the prepaid tokens may all be reserved at once.
 Their loss matters little, and a report for each call would delay the calls."""
 
-RELEASE_BEGINS_S = 1.5
-RELEASE_ENDS_S = 6.5
+RELEASE_BEGINS_S = 2.2
+RELEASE_ENDS_S = 5.0
 """Time since a report after which more tokens can be reserved, and after which all
-can, in seconds. A process that replaces a lost one is up about 2 s after the last
+can, in seconds. A process that replaces a lost one starts about 2 s after the last
 report of the latter."""
 
 
@@ -42,20 +44,42 @@
     """What a VM reports about one budget, in tokens.
 
     ``committed`` tokens were spent or reserved. Of the ``free`` ones, ``at_once`` may
-    be reserved without a newer report.
+    be reserved without a newer report, and so may those that are granted later, beyond
+    the ``granted`` ones.
     """
 
     committed: int
     free: int
     at_once: int
+    granted: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClosedBudget:
+    """What an incarnation that has ended spent at most of one budget, in tokens.
+
+    This is ``spent`` while it was granted ``granted``, and more if it was granted more.
+    """
+
+    spent: int
+    granted: int
+
+    def spent_at_most(self, granted: int) -> int:
+        """Returns the most that was spent if ``granted`` tokens were granted.
+
+        >>> budget = ClosedBudget(spent=300, granted=500)
+        >>> [budget.spent_at_most(granted) for granted in (200, 400, 550)]
+        [200, 300, 350]
+        """
+        return min(granted, self.spent + max(0, granted - self.granted))
 
 
 @dataclass(frozen=True, slots=True)
 class ClosedSpending:
-    """The tokens that an incarnation which has ended spent at most, by workspace."""
+    """What an incarnation that has ended spent at most, by workspace."""
 
     incarnation: str
-    tokens: Mapping[str, int]
+    budgets: Mapping[str, ClosedBudget]
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,16 +106,18 @@
     >>> allowance = Allowance(now=0.0)
     >>> allowance.granted, allowance.spent = 1500, 500
     >>> report_budget(allowance, prepaid=40_000, now=0.0)
-    ReportedBudget(committed=500, free=1000, at_once=100)
+    ReportedBudget(committed=500, free=1000, at_once=100, granted=1500)
     >>> allowance.record_demand(4000, now=0.0)
     >>> report_budget(allowance, prepaid=40_000, now=0.0)
-    ReportedBudget(committed=500, free=1000, at_once=250)
+    ReportedBudget(committed=500, free=1000, at_once=350, granted=1500)
     """
     free = max(0, allowance.free)
     small = min(free, prepaid * SMALL_GRANT_FRACTION)
     expected = allowance.demand_at(now) * AT_ONCE_DEMAND_S
+    expected = max(free * AT_ONCE_IDLE_FRACTION, expected)
     at_once = max(small, min(free * AT_ONCE_FRACTION, expected))
-    return ReportedBudget(allowance.committed, free, int(at_once))
+    committed, granted = allowance.committed, allowance.granted
+    return ReportedBudget(committed, free, int(at_once), granted)
 
 
 def spendable_since(budget: ReportedBudget, elapsed_s: float) -> int:
@@ -99,8 +125,8 @@
 
     It never falls as ``elapsed_s``, in seconds, rises.
 
-    >>> budget = ReportedBudget(committed=500, free=1000, at_once=200)
-    >>> [spendable_since(budget, seconds) for seconds in (0.5, 4.0, 7.0)]
+    >>> budget = ReportedBudget(committed=500, free=1000, at_once=200, granted=1500)
+    >>> [spendable_since(budget, seconds) for seconds in (0.5, 3.6, 7.0)]
     [200, 600, 1000]
     """
     released = (elapsed_s - RELEASE_BEGINS_S) / (RELEASE_ENDS_S - RELEASE_BEGINS_S)
@@ -114,8 +140,10 @@
     ``now_s`` is a time of the store, in seconds, at which the VM had ended.
     """
     elapsed_s = max(0.0, now_s - report.reported_at_s)
-    tokens = {
-        workspace: budget.committed + spendable_since(budget, elapsed_s)
+    budgets = {
+        workspace: ClosedBudget(
+            budget.committed + spendable_since(budget, elapsed_s), budget.granted
+        )
         for workspace, budget in report.budgets.items()
     }
-    return ClosedSpending(report.incarnation, tokens)
+    return ClosedSpending(report.incarnation, budgets)
