Release reported tokens by demand, so that a loss in an outage costs less

A large grant covers 25 s of demand, and what an outage needs is the demand, not all of the grant. From 2.2 s after a report twice the demand is now released each second, or a tenth of the free tokens if that is more.

Ruled out: releasing later by a fixed time, which refuses calls where grants are small.

--- a/verbenagrade/state/spending.py
+++ b/verbenagrade/state/spending.py
@@ -33,10 +33,13 @@
 Their loss matters little, and a report for each call would delay the calls."""
 
 RELEASE_BEGINS_S = 2.2
-RELEASE_ENDS_S = 5.0
-"""Time since a report after which more tokens can be reserved, and after which all
-can, in seconds. A process that replaces a lost one starts about 2 s after the last
-report of the latter."""
+"""Time since a report after which more tokens can be reserved, in seconds. A process
+that replaces a lost one starts about 2 s after the last report of the latter."""
+
+RELEASE_DEMAND_FACTOR = 2.0
+MIN_RELEASE_PER_S = 0.1
+"""From then on as much is released each second as this multiple of the demand, but at
+least this fraction of the free tokens."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,13 +47,14 @@
     """What a VM reports about one budget, in tokens.
 
     ``committed`` tokens were spent or reserved. Of the ``free`` ones, ``at_once`` may
-    be reserved without a newer report, and so may those that are granted later, beyond
-    the ``granted`` ones.
+    be reserved without a newer report, and after ``RELEASE_BEGINS_S`` another ``per_s``
+    in each second. So may those that are granted later, beyond the ``granted`` ones.
     """
 
     committed: int
     free: int
     at_once: int
+    per_s: int
     granted: int
 
 
@@ -106,18 +110,20 @@
     >>> allowance = Allowance(now=0.0)
     >>> allowance.granted, allowance.spent = 1500, 500
     >>> report_budget(allowance, prepaid=40_000, now=0.0)
-    ReportedBudget(committed=500, free=1000, at_once=100, granted=1500)
+    ReportedBudget(committed=500, free=1000, at_once=100, per_s=100, granted=1500)
     >>> allowance.record_demand(4000, now=0.0)
     >>> report_budget(allowance, prepaid=40_000, now=0.0)
-    ReportedBudget(committed=500, free=1000, at_once=350, granted=1500)
+    ReportedBudget(committed=500, free=1000, at_once=350, per_s=2426, granted=1500)
     """
     free = max(0, allowance.free)
     small = min(free, prepaid * SMALL_GRANT_FRACTION)
-    expected = allowance.demand_at(now) * AT_ONCE_DEMAND_S
-    expected = max(free * AT_ONCE_IDLE_FRACTION, expected)
+    demand = allowance.demand_at(now)
+    expected = max(free * AT_ONCE_IDLE_FRACTION, demand * AT_ONCE_DEMAND_S)
     at_once = max(small, min(free * AT_ONCE_FRACTION, expected))
-    committed, granted = allowance.committed, allowance.granted
-    return ReportedBudget(committed, free, int(at_once), granted)
+    per_s = max(free * MIN_RELEASE_PER_S, demand * RELEASE_DEMAND_FACTOR)
+    return ReportedBudget(
+        allowance.committed, free, int(at_once), int(per_s), allowance.granted
+    )
 
 
 def spendable_since(budget: ReportedBudget, elapsed_s: float) -> int:
@@ -125,13 +131,14 @@
 
     It never falls as ``elapsed_s``, in seconds, rises.
 
-    >>> budget = ReportedBudget(committed=500, free=1000, at_once=200, granted=1500)
-    >>> [spendable_since(budget, seconds) for seconds in (0.5, 3.6, 7.0)]
-    [200, 600, 1000]
+    >>> budget = ReportedBudget(
+    ...     committed=500, free=1000, at_once=200, per_s=300, granted=1500
+    ... )
+    >>> [spendable_since(budget, seconds) for seconds in (0.5, 3.2, 7.0)]
+    [200, 500, 1000]
     """
-    released = (elapsed_s - RELEASE_BEGINS_S) / (RELEASE_ENDS_S - RELEASE_BEGINS_S)
-    later = budget.free - budget.at_once
-    return budget.at_once + int(later * min(1.0, max(0.0, released)))
+    released = budget.per_s * max(0.0, elapsed_s - RELEASE_BEGINS_S)
+    return min(budget.free, budget.at_once + int(released))
 
 
 def spent_at_most(report: SpendingReport, now_s: float) -> ClosedSpending:
