Split allowances, crash rows and periodic work into modules

Moves code without a change of behaviour: limits of spending, returns of grants, rows of crashes and the periodic tasks of a gateway have modules of their own.

--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -7,14 +7,18 @@
 import asyncio
 import random
 from collections.abc import Callable
-from heapq import nlargest
 
 from verbenagrade.coordination.accounts import (
     BudgetAccount,
     log_grant_delayed,
 )
-from verbenagrade.coordination.grant_transactions import GrantTransactions
+from verbenagrade.coordination.grant_returns import GrantReturns
+from verbenagrade.coordination.grant_transactions import (
+    MAX_TRANSACTIONS_PER_TRANSFER,
+    GrantTransactions,
+)
 from verbenagrade.coordination.ports import PlatformStore
+from verbenagrade.coordination.spending_limits import SpendingLimits
 from verbenagrade.coordination.spending_reports import SpendingReports
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.exceptions import (
@@ -27,7 +31,6 @@
     plan_grant,
     target_free_tokens,
 )
-from verbenagrade.state.spending import ReportedBudget, report_budget
 
 __all__ = ["AllowanceManager"]
 
@@ -37,25 +40,14 @@
 MAX_BACKOFF_S_PER_VM = 0.0005
 """Maximum delay after a conflict, in seconds per VM: a tenth of a transaction."""
 
-MAX_TRANSACTIONS_PER_TRANSFER = 8
-"""Maximum number of transactions for one grant or return, which may conflict."""
-
 REFUSED_DEMAND_FRACTION = 0.5
 """Fraction of the bound of a refused call that counts as demand, because most
 refused calls are retried."""
 
-SURPLUS_FACTOR = 2.0
-"""Tokens are returned above this multiple of the tokens to keep free."""
-
 REFILL_FRACTION = 0.7
 """A background refill starts when fewer free tokens are left than this fraction of
 the tokens to keep free."""
 
-SHARDS_FRESH_S = 0.5
-"""Age in seconds above which the cached shards are read again before a transaction,
-because other VMs have probably changed them. A read costs one call, as much as a
-conflict, but refreshes all shards."""
-
 REFRESH_INTERVAL_S = 4.0
 REFRESH_INTERVAL_S_PER_VM = 0.4
 """Minimum interval, and interval per VM of the fleet, in seconds, after which a VM that
@@ -71,14 +63,6 @@
 """Minimum interval, and interval per VM of the fleet, in seconds, between reports of
 the spending. The interval grows with the fleet to bound the total rate of writes."""
 
-MAX_REPORTED_BUDGETS = 300
-"""Largest number of budgets in a report, about 90 bytes each: a row of the store holds
-64 KB. What a lost VM held of other budgets counts as spent."""
-
-MAX_REPORTS_PER_CALL = 2
-"""Reports of the spending that a call waits for: one whose outcome was unknown is sent
-again before a new one."""
-
 MAX_PREPARED_BUDGETS = 32
 """Maximum number of budgets for which a VM obtains a grant before any demand."""
 
@@ -115,8 +99,11 @@
         self.random = random.Random(incarnation)
         self.accounts: dict[str, BudgetAccount] = {}
         self.spending = spending
-        self.report_lock = asyncio.Lock()
+        self.limits = SpendingLimits(spending, self.accounts, clock)
         self.grant_transactions = GrantTransactions(table, incarnation, clock, spending)
+        self.returns = GrantReturns(
+            self.grant_transactions, self.limits, self._back_off
+        )
         self.failed_at = float("-inf")
         self.probed_at = float("-inf")
         self.refills: set[asyncio.Task[None]] = set()
@@ -141,20 +128,20 @@
         ``UnavailableError`` if the store cannot confirm whether it has enough.
         """
         account = self._get_or_create_account(workspace)
-        if self._reserve_locally(account, bound):
+        if self.limits.reserve(account, bound):
             account.allowance.record_demand(bound, self.clock())
             self._schedule_refill_if_low(account)
             return
         self._refuse_if_unavailable(account, bound)
         async with account.lock:
-            granted = self._reserve_locally(account, bound)
+            granted = self.limits.reserve(account, bound)
             if not granted:
                 # The store may not have responded to the calls that waited before.
                 self._refuse_if_unavailable(account, bound)
                 granted = await self._ask_store(account, bound)
         if granted:
             account.allowance.record_demand(bound, self.clock())
-        elif self._awaits_earlier_grant(workspace):
+        elif self.limits.awaits_earlier_grant(workspace):
             raise UnavailableError(
                 f"{workspace} gets back tokens of an earlier process; retry later"
             )
@@ -172,8 +159,8 @@
         account.allowance.record_demand(demand, self.clock())
         self._schedule_refill(account)
         raise UnavailableError(
-            f"{account.workspace} has {self._reservable(account)} tokens here, {bound}"
-            " are needed; retry when the store responds"
+            f"{account.workspace} has {self.limits.reservable(account)} tokens here,"
+            f" {bound} are needed; retry when the store responds"
         )
 
     async def _ask_store(self, account: BudgetAccount, bound: int) -> bool:
@@ -204,137 +191,36 @@
 
         Raises ``PlatformError`` if the store does not respond.
         """
-        spending = self.spending
-        if spending is None:
-            return
-        await self._take_over_reports()
-        async with self.report_lock:
-            await spending.report(self._reported_budgets())
-        for workspace in spending.held_by_earlier():
+        await self.limits.report()
+        for workspace in self.limits.held_by_earlier():
             account = self._get_or_create_account(workspace)
             async with account.lock:
                 if await self.grant_transactions.return_earlier(account):
-                    spending.forget_closed(workspace)
-
-    async def _take_over_reports(self) -> None:
-        """Learns what an earlier incarnation spent, before its row is overwritten."""
-        spending = self.spending
-        if spending is None or spending.taken_over:
-            return
-        async with self.report_lock:
-            if not spending.taken_over:
-                await spending.take_over()
+                    self.spending.forget_closed(workspace)
 
     def report_interval_s(self) -> float:
         """Returns the time between two reports of the spending, in seconds."""
         return max(REPORT_INTERVAL_S, REPORT_INTERVAL_S_PER_VM * self.vm_count)
 
-    def _reported_budgets(self) -> dict[str, ReportedBudget]:
-        """Returns what to report, for the largest grants if there are many."""
-        held = (it for it in self.accounts.values() if it.allowance.granted > 0)
-        largest = nlargest(MAX_REPORTED_BUDGETS, held, lambda it: it.allowance.free)
-        now = self.clock()
-        return {
-            account.workspace: report_budget(account.allowance, account.prepaid, now)
-            for account in largest
-        }
-
-    async def _reserve_after_report(self, account: BudgetAccount, bound: int) -> bool:
-        """Reserves free tokens beyond the limit of the last report, by a newer one.
-
-        The report counts the tokens as committed. Raises ``PlatformError`` if the store
-        does not respond; the tokens are then free again.
-        """
-        if not account.allowance.reserve(bound):
-            return False
-        covered = False
-        try:
-            for _ in range(MAX_REPORTS_PER_CALL):
-                async with self.report_lock:
-                    if not self._exceeds_limit(account) or self._is_store_unavailable():
-                        break
-                    await self.spending.report(self._reported_budgets())
-            covered = not self._exceeds_limit(account)
-        finally:
-            if not covered:
-                account.allowance.release(bound)
-        return covered
-
-    async def _may_return(self, account: BudgetAccount, surplus: int) -> bool:
-        """Returns whether reports cover the spending if the surplus is returned.
-
-        What was granted since a report may have been spent beyond it. Once returned, it
-        no longer shows in the row. Raises ``PlatformError`` if a report is needed and
-        the store does not respond.
-        """
-        if self._exceeds_limit(account, surplus):
-            async with self.report_lock:
-                await self.spending.report(self._reported_budgets())
-        return not self._exceeds_limit(account, surplus)
-
-    def _exceeds_limit(self, account: BudgetAccount, surplus: int = 0) -> bool:
-        """Returns whether more is committed than reports cover without a surplus."""
-        limit = self._spending_limit(account, surplus)
-        return limit is not None and account.allowance.committed > limit
-
-    def _reserve_locally(self, account: BudgetAccount, bound: int) -> bool:
-        """Reserves tokens without the store, if it need not be asked."""
-        return account.allowance.reserve(bound, self._spending_limit(account))
-
-    def _reservable(self, account: BudgetAccount) -> int:
-        """Returns how many tokens can be reserved without the store."""
-        limit = self._spending_limit(account)
-        free = account.allowance.free
-        if limit is None:
-            return free
-        return max(0, min(free, limit - account.allowance.committed))
-
-    def _spending_limit(self, account: BudgetAccount, surplus: int = 0) -> int | None:
-        if self.spending is None:
-            return None
-        granted = account.allowance.granted - surplus
-        return self.spending.limit(account.workspace, granted, self.clock())
-
-    def _awaits_earlier_grant(self, workspace: str) -> bool:
-        """Returns whether tokens of an earlier incarnation may still be returned."""
-        spending = self.spending
-        if spending is None:
-            return False
-        return not spending.taken_over or workspace in spending.held_by_earlier()
-
     async def rebalance(self) -> None:
         """Refreshes stale accounts and returns tokens that exceed this VM's demand."""
         for account in tuple(self.accounts.values()):
             await self.grant_transactions.restore_if_due(account)
             await self._refresh_shards(account)
-            unreturned = account.own.tokens - account.allowance.granted
-            if account.lock.locked() or unreturned + self._surplus(account) <= 0:
-                continue
-            async with account.lock:
-                await self._return_tokens(account, self._surplus)
+            await self.returns.return_surplus(account, self._tokens_to_keep)
 
     async def _refresh_shards(self, account: BudgetAccount) -> None:
         """Reads the shards again if they are stale and this VM holds free tokens."""
         period_s = max(REFRESH_INTERVAL_S, REFRESH_INTERVAL_S_PER_VM * self.vm_count)
-        due = (
-            self.clock() - account.shards_read_at > period_s
-            and not self._is_store_unavailable()
-        )
-        if not due or account.allowance.free <= 0 or account.lock.locked():
+        if account.allowance.free <= 0 or self._is_store_unavailable():
             return
-        account.shards_read_at = self.clock()
-        async with account.lock:
-            try:
-                account.update_shards(await self.table.scan(account.shards_prefix))
-            except PlatformError as error:
-                self.failed_at = self.clock()
-                log_grant_delayed(account, error)
+        if not await self.grant_transactions.refresh_if_stale(account, period_s):
+            self.failed_at = self.clock()
 
     async def return_all(self) -> None:
         """Returns all free tokens, for a graceful shutdown."""
         for account in tuple(self.accounts.values()):
-            async with account.lock:
-                await self._return_tokens(account, lambda it: it.allowance.free)
+            await self.returns.return_free(account)
 
     def _is_store_unavailable(self) -> bool:
         """Returns whether a store call failed too recently for a caller to wait."""
@@ -374,14 +260,6 @@
         horizon_s = self.tuning.grant_horizon_s
         return target_free_tokens(account.allowance, budget, horizon_s, self.clock())
 
-    def _surplus(self, account: BudgetAccount) -> int:
-        """Returns the number of free tokens to return, if positive."""
-        if account.granted > account.prepaid:
-            return account.allowance.free
-        return account.allowance.free - int(
-            SURPLUS_FACTOR * self._tokens_to_keep(account)
-        )
-
     def _schedule_refill_if_low(self, account: BudgetAccount) -> None:
         """Schedules a refill in the background if few free tokens are left."""
         if account.allowance.free < REFILL_FRACTION * self._tokens_to_keep(account):
@@ -402,8 +280,8 @@
         """Obtains tokens ahead of demand; a platform error is logged, not raised."""
         async with account.lock:
             try:
-                await self._take_over_reports()
-                if self._must_read_shards(account):
+                await self.limits.take_over()
+                if self.grant_transactions.must_refresh(account):
                     await self.grant_transactions.refresh(account)
                 tokens = self._planned_tokens(account, 0)
                 if self._is_settling(account):
@@ -428,13 +306,15 @@
         ``UnavailableError`` if all transactions conflicted.
         """
         fresh = False
-        await self._take_over_reports()
+        await self.limits.take_over()
         for _ in range(MAX_TRANSACTIONS_PER_TRANSFER):
-            if self._reserve_locally(account, bound):
+            if self.limits.reserve(account, bound):
                 return True
             if bound <= account.allowance.free:
-                return await self._reserve_limited(account, bound)
-            if self._must_read_shards(account):
+                is_hopeless = self._is_store_unavailable
+                await self.limits.reserve_after_report(account, bound, is_hopeless)
+                return True
+            if self.grant_transactions.must_refresh(account):
                 await self.grant_transactions.refresh(account)
                 fresh = True
                 continue
@@ -454,25 +334,6 @@
                 await self._back_off()
         raise UnavailableError("other VMs change the budget too often; retry later")
 
-    async def _reserve_limited(self, account: BudgetAccount, bound: int) -> bool:
-        """Reserves tokens that were granted, after a report of the spending.
-
-        Raises ``PlatformError`` if the store does not respond, and
-        ``UnavailableError`` if the tokens can't be reserved yet.
-        """
-        if await self._reserve_after_report(account, bound):
-            return True
-        raise UnavailableError(
-            f"{account.workspace} may not reserve {bound} of its tokens here yet;"
-            " retry later"
-        )
-
-    def _must_read_shards(self, account: BudgetAccount) -> bool:
-        """Returns whether the shards must be read before the next transaction."""
-        if account.must_reload or account.must_restore or not account.is_loaded:
-            return True
-        return self.clock() - account.shards_read_at > SHARDS_FRESH_S
-
     def _planned_tokens(self, account: BudgetAccount, need: int) -> int:
         """Returns the number of tokens to obtain if ``need`` more are required."""
         budget = account.view(0, self.vm_count)
@@ -484,27 +345,3 @@
         """Waits for a random time after a conflict to avoid further conflicts."""
         max_delay_s = MAX_BACKOFF_S_PER_VM * self.vm_count
         await asyncio.sleep(self.random.uniform(0.0, max_delay_s))
-
-    async def _return_tokens(
-        self, account: BudgetAccount, surplus_of: Callable[[BudgetAccount], int]
-    ) -> None:
-        """Returns the surplus, and tokens that the allowance no longer counts.
-
-        The latter are still granted by this VM's row, for example after an earlier
-        return that was not committed. The surplus leaves the allowance before the
-        transaction, so that it cannot be spent if the response is lost.
-        """
-        try:
-            if account.must_reload or account.must_restore:
-                await self.grant_transactions.refresh(account)
-            for _ in range(MAX_TRANSACTIONS_PER_TRANSFER):
-                surplus = max(0, surplus_of(account))
-                rest = account.own.tokens - account.allowance.granted + surplus
-                if rest <= 0 or not await self._may_return(account, surplus):
-                    return
-                account.allowance.granted -= surplus
-                if await self.grant_transactions.transfer(account, 0, -rest):
-                    return
-                await self._back_off()
-        except PlatformError as error:
-            log_grant_delayed(account, error)
--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -15,6 +15,11 @@
 
 import msgspec
 
+from verbenagrade.coordination.crash_rows import (
+    decode_crash_time,
+    encode_crash,
+    split_key,
+)
 from verbenagrade.coordination.ports import (
     Changes,
     Check,
@@ -54,15 +59,6 @@
 CRASH_KEY_PARTS = 3
 
 
-class CrashRow(msgspec.Struct, frozen=True):
-    """The value of a row of a crash: its time on the store's clock, in seconds.
-
-    It is ``None`` in rows of builds that did not write it.
-    """
-
-    at_s: float | None = None
-
-
 class GatewayFleet:
     """The VMs that run gateways, and the calls that crashed endpoints.
 
@@ -238,7 +234,7 @@
         self.own_reports.pop(key, None)
         self.removals.pop(key, None)
         self.crash_times.pop(key, None)
-        kind, *names = _split_key(key)
+        kind, *names = split_key(key, FLEET_TABLE)
         if len(names) != CRASH_KEY_PARTS - 1:
             return
         if kind == "crash":
@@ -285,10 +281,7 @@
 
     def _value(self, key: str) -> bytes:
         """Returns the value of the row of a crash."""
-        at, offset_s = self.crash_times.get(key), self.store_time_offset_s
-        if at is None or offset_s is None:
-            return msgspec.json.encode(CrashRow())
-        return msgspec.json.encode(CrashRow(at + offset_s))
+        return encode_crash(self.crash_times.get(key), self.store_time_offset_s)
 
     async def _commit(self, writes: tuple[Write, ...]) -> None:
         commit = await self.table.commit((), writes)
@@ -320,7 +313,7 @@
                 self.forget_crash(key)
 
     def _apply_row(self, row: Row) -> None:
-        kind, *names = _split_key(row.key)
+        kind, *names = split_key(row.key, FLEET_TABLE)
         if kind == "vm":
             self.vms.add("/".join(names))
         elif (
@@ -331,7 +324,7 @@
     def _apply_crash(self, row: Row, kind: str, name: str, endpoint: str) -> None:
         if row.key in self.removals:
             return
-        at = self._crash_time(row)
+        at = decode_crash_time(row, self.store_time_offset_s, self.clock())
         if self._is_expired(at):
             self._remove_expired(row.key)
             return
@@ -350,19 +343,3 @@
     def _apply_trial(self, part: str, number: str) -> None:
         if number.isdecimal():
             self.suspects.record_trial(part, int(number))
-
-    def _crash_time(self, row: Row) -> float:
-        """Returns the time of a crash on the clock of this process, in seconds."""
-        now = self.clock()
-        try:
-            at_s = msgspec.json.decode(row.value, type=CrashRow).at_s
-        except msgspec.DecodeError as error:
-            log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
-            at_s = None
-        if at_s is None or self.store_time_offset_s is None:
-            return now
-        return min(now, at_s - self.store_time_offset_s)
-
-
-def _split_key(key: str) -> list[str]:
-    return key.removeprefix(f"{FLEET_TABLE}//").split("/")
--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -32,7 +32,15 @@
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
 
-__all__ = ["GrantTransactions"]
+__all__ = ["MAX_TRANSACTIONS_PER_TRANSFER", "GrantTransactions"]
+
+MAX_TRANSACTIONS_PER_TRANSFER = 8
+"""Maximum number of transactions for one grant or return, which may conflict."""
+
+SHARDS_FRESH_S = 0.5
+"""Age in seconds above which the cached shards are read again before a transaction,
+because other VMs have probably changed them. A read costs one call, as much as a
+conflict, but refreshes all shards."""
 
 MAX_EARLIER_ERAS = 8
 """Number of earlier eras in which the rows of a budget are looked for."""
@@ -70,10 +78,9 @@
             return False
         tokens = sum(transfer.tokens for transfer in transfers)
         spent = account.allowance.spent - account.own.spent
+        unreported, returnable = spent + account.own.lost, account.own.returnable
         own = account.own.with_transfer(tokens, spent)
         shards: dict[int, CachedRow] = {}
-        unreported = spent + account.own.lost
-        returnable = account.own.returnable
         for transfer in transfers:
             shards[transfer.shard] = account.shards[transfer.shard].with_transfer(
                 transfer.tokens - returnable, unreported
@@ -163,6 +170,29 @@
         await self.refresh(account)
         return not account.own.returnable or await self.transfer(account, 0, 0)
 
+    def must_refresh(self, account: BudgetAccount) -> bool:
+        """Returns whether the shards must be read before the next transaction."""
+        if account.must_reload or account.must_restore or not account.is_loaded:
+            return True
+        return self.clock() - account.shards_read_at > SHARDS_FRESH_S
+
+    async def refresh_if_stale(self, account: BudgetAccount, period_s: float) -> bool:
+        """Reads the shards if the last read is longer ago and the account isn't in use.
+
+        If the store does not respond, the failure is logged and the result is false.
+        """
+        fresh = self.clock() - account.shards_read_at <= period_s
+        if fresh or account.lock.locked():
+            return True
+        account.shards_read_at = self.clock()
+        async with account.lock:
+            try:
+                account.update_shards(await self.table.scan(account.shards_prefix))
+            except PlatformError as error:
+                log_grant_delayed(account, error)
+                return False
+        return True
+
     async def restore_if_due(self, account: BudgetAccount) -> None:
         """Restores a budget after a change of the era, unless it is in use now.
 
--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -83,8 +83,13 @@
         log_event(Event.CALL_FAILED, call=call_id, reason=repr(error))
         raise
     finally:
-        core.in_flight -= 1
-        core.body_bytes.release(id(request))
+        _release(core, request)
+
+
+def _release(core: GatewayCore, request: web.BaseRequest) -> None:
+    """Stops counting a call that has ended."""
+    core.in_flight -= 1
+    core.body_bytes.release(id(request))
 
 
 def _read_head(core: GatewayCore, request: web.BaseRequest) -> CallHead:
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
-from verbenagrade.protocol.event_stream import EventSplitter
+from verbenagrade.protocol.event_stream import CompleteEvents, EventSplitter
 from verbenagrade.state.crash_suspects import MIN_SURVIVED_EVENTS
 from verbenagrade.state.retries import next_event_timeout_s
 from verbenagrade.transport.gateway.calls import Call, CallProgress
@@ -110,9 +110,7 @@
             data = await upstream.read_chunk(remaining_s)
         if not data:
             break
-        events = splitter.feed(data)
-        if len(splitter.incomplete) > MAX_EVENT_BYTES:
-            raise UpstreamFailedError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        events = _split(splitter, data)
         if events.count:
             on_data()
             await writer.write(upstream, events.data)
@@ -122,17 +120,42 @@
         if not survived and progress.attempt_events >= MIN_SURVIVED_EVENTS:
             survived = True
             record_survival(core, call, progress.sent_at)
-    if splitter.incomplete:
-        raise UpstreamFailedError("the stream ended in the middle of an event")
-    if not progress.delivered_events and upstream.ends_with_connection:
-        raise UpstreamFailedError("the stream ended before its first event")
+    _check_end(progress, upstream, splitter)
     if not survived and progress.attempt_events:
         record_survival(core, call, progress.sent_at)
+    return await _finish(writer, upstream)
+
+
+async def _finish(
+    writer: ResponseWriter, upstream: UpstreamResponse
+) -> web.StreamResponse:
+    """Ends the response to the caller."""
     await writer.write(upstream, b"")
     await writer.response.write_eof()
     return writer.response
 
 
+def _split(splitter: EventSplitter, data: bytes) -> CompleteEvents:
+    """Returns the events that are complete with the data.
+
+    Raises ``UpstreamFailedError`` if the next one is too long.
+    """
+    events = splitter.feed(data)
+    if len(splitter.incomplete) > MAX_EVENT_BYTES:
+        raise UpstreamFailedError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+    return events
+
+
+def _check_end(
+    progress: CallProgress, upstream: UpstreamResponse, splitter: EventSplitter
+) -> None:
+    """Raises ``UpstreamFailedError`` if the end of a stream shows that it broke off."""
+    if splitter.incomplete:
+        raise UpstreamFailedError("the stream ended in the middle of an event")
+    if not progress.delivered_events and upstream.ends_with_connection:
+        raise UpstreamFailedError("the stream ended before its first event")
+
+
 def _remaining_s(core: GatewayCore, call: Call) -> float:
     """Returns the time left for a call, in seconds.
 
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -25,7 +25,6 @@
     log_task_failure,
 )
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PlatformError
 from verbenagrade.protocol.calls import CallFormat
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.directory import EndpointDirectory
@@ -34,6 +33,11 @@
 from verbenagrade.transport.gateway.call_handler import handle_call
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.store_connections import store_session
+from verbenagrade.transport.gateway.upkeep import (
+    expire_endpoints,
+    maintain_grants,
+    report_spending,
+)
 from verbenagrade.transport.gateway.upstream import endpoint_session
 
 __all__ = ["Gateway", "PlatformAdapter"]
@@ -55,8 +59,6 @@
 value does not delay changes, which arrive within a second; only a lost connection
 is detected later."""
 
-MAINTENANCE_INTERVAL_S = 1.0
-EXPIRY_INTERVAL_S = 0.2
 KEEPALIVE_TIMEOUT_S = 75.0
 """How long a caller's connection may be idle, in seconds: longer than the idle
 time after which callers stop reusing a connection."""
@@ -98,21 +100,11 @@
         store = adapter.store(self.store_session, settings, eras.observer())
         self.table = guard_eras(count_failures(store, self._count_failure), eras)
         bounds = settings.bounds
-        identity = VmIdentity(settings.vm, settings.listen.callers, incarnation)
-        spending = SpendingReports(self.table, identity, self.clock, eras)
         self.core = GatewayCore(
             settings=settings,
             call_format=adapter.calls,
             session=self.endpoint_session,
-            allowance_manager=AllowanceManager(
-                self.table,
-                settings.vm,
-                incarnation,
-                settings.tuning,
-                self.clock,
-                eras,
-                spending,
-            ),
+            allowance_manager=self._make_allowance_manager(settings, incarnation, eras),
             fleet=GatewayFleet(self.table, settings.vm, incarnation, eras, self.clock),
             placement=PlacementTable(
                 VmLocation(settings.data_centre, settings.regions), seed
@@ -127,6 +119,16 @@
         self.runners: list[web.ServerRunner] = []
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _make_allowance_manager(
+        self, settings: GatewaySettings, incarnation: str, eras: StoreEras
+    ) -> AllowanceManager:
+        vm, tuning = settings.vm, settings.tuning
+        identity = VmIdentity(vm, settings.listen.callers, incarnation)
+        reports = SpendingReports(self.table, identity, self.clock, eras)
+        return AllowanceManager(
+            self.table, vm, incarnation, tuning, self.clock, eras, reports
+        )
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until ``stop`` is set, then shuts down within the grace period."""
         settings = self.core.settings
@@ -230,9 +232,8 @@
                     lambda: core.eras.current,
                 )
             )
-        self._start_task(self._expire_endpoints())
-        self._start_task(self._maintain_grants())
-        self._start_task(self._report_spending())
+        for task in (expire_endpoints, maintain_grants, report_spending):
+            self._start_task(task(core))
 
     def _apply_configuration(self, changes: Changes) -> None:
         """Replaces the configuration."""
@@ -280,46 +281,6 @@
         task.add_done_callback(log_task_failure)
         self.tasks.append(task)
 
-    async def _expire_endpoints(self) -> None:
-        """Periodically removes endpoints whose entries did not reappear in time."""
-        core = self.core
-        while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
-            change = core.directory.expire(self.clock())
-            core.placement.forget(change.ended)
-            for name in change.ended:
-                log_event(Event.ENDPOINT_GONE, endpoint=name)
-
-    async def _maintain_grants(self) -> None:
-        """Periodically announces this VM, if not yet done, and maintains its grants."""
-        core = self.core
-        while True:
-            await asyncio.sleep(MAINTENANCE_INTERVAL_S * core.random.uniform(0.8, 1.2))
-            try:
-                await core.fleet.announce()
-                await core.fleet.write_reports()
-            except PlatformError as error:
-                log_event(Event.PLATFORM_AWAY, table=FLEET_TABLE, reason=str(error))
-                continue
-            await core.allowance_manager.prefetch_grants()
-            await core.allowance_manager.rebalance()
-
-    async def _report_spending(self) -> None:
-        """Periodically reports to the store what this VM spends."""
-        core = self.core
-        manager = core.allowance_manager
-        delayed = False
-        while True:
-            try:
-                await manager.report_spending()
-                delayed = False
-            except PlatformError as error:
-                if not delayed:
-                    log_event(Event.SPENDING_DELAYED, reason=str(error))
-                delayed = True
-            interval_s = manager.report_interval_s()
-            await asyncio.sleep(interval_s * core.random.uniform(0.8, 1.2))
-
     async def _shut_down(self) -> None:
         core = self.core
         log_event(Event.PROCESS_STOPPING, in_flight=core.in_flight)
--- /dev/null
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -0,0 +1,53 @@
+"""The periodic work of a gateway; each function runs until it is cancelled."""
+
+import asyncio
+
+from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import PlatformError
+from verbenagrade.transport.gateway.core import GatewayCore
+
+__all__ = ["expire_endpoints", "maintain_grants", "report_spending"]
+
+MAINTENANCE_INTERVAL_S = 1.0
+EXPIRY_INTERVAL_S = 0.2
+
+
+async def expire_endpoints(core: GatewayCore) -> None:
+    """Removes endpoints whose entries did not reappear in time."""
+    while True:
+        await asyncio.sleep(EXPIRY_INTERVAL_S)
+        change = core.directory.expire(core.clock())
+        core.placement.forget(change.ended)
+        for name in change.ended:
+            log_event(Event.ENDPOINT_GONE, endpoint=name)
+
+
+async def maintain_grants(core: GatewayCore) -> None:
+    """Announces this VM, if not yet done, and maintains its reports and grants."""
+    while True:
+        await asyncio.sleep(MAINTENANCE_INTERVAL_S * core.random.uniform(0.8, 1.2))
+        try:
+            await core.fleet.announce()
+            await core.fleet.write_reports()
+        except PlatformError as error:
+            log_event(Event.PLATFORM_AWAY, table=FLEET_TABLE, reason=str(error))
+            continue
+        await core.allowance_manager.prefetch_grants()
+        await core.allowance_manager.rebalance()
+
+
+async def report_spending(core: GatewayCore) -> None:
+    """Reports to the store what this VM spends."""
+    manager = core.allowance_manager
+    delayed = False
+    while True:
+        try:
+            await manager.report_spending()
+            delayed = False
+        except PlatformError as error:
+            if not delayed:
+                log_event(Event.SPENDING_DELAYED, reason=str(error))
+            delayed = True
+        interval_s = manager.report_interval_s()
+        await asyncio.sleep(interval_s * core.random.uniform(0.8, 1.2))
