Don't keep a new process from being ready if only the fleet table is missing

A gateway is ready once it knows what crashes endpoints. If only that part of the store did not respond, it would never have been. It now waits 2 s at most.

--- a/verbenagrade/platform/tests/store_standin.py
+++ b/verbenagrade/platform/tests/store_standin.py
@@ -16,7 +16,8 @@
 
     If ``status`` is not 0, every request gets this HTTP status. The responses to the
     next ``responses_to_lose`` transactions are lost after the commit. If
-    ``unresponsive`` is set, no request gets a response. ``transfer_s`` is the time for
+    ``unresponsive`` is set, no request gets a response, and no read of the
+    ``silent_table`` ever does. ``transfer_s`` is the time for
     sending the body of a response that contains rows, in seconds; if ``slow_table``
     is set, only of that table. ``era`` is told in all responses unless it is ``None``.
     ``before_second_request`` is called once, when the second request arrives.
@@ -29,6 +30,7 @@
         self.oldest_version = 0
         self.status = 0
         self.unresponsive = False
+        self.silent_table = "none"
         self.responses_to_lose = 0
         self.transfer_s = 0.0
         self.slow_table = ""
@@ -113,7 +115,7 @@
         self.request_count += 1
         if self.request_count == 2 and self.before_second_request is not None:
             self.before_second_request()
-        if self.unresponsive:
+        if self.unresponsive or request.query.get("table") == self.silent_table:
             await asyncio.sleep(60)
         if self.status:
             return web.Response(status=self.status)
--- a/verbenagrade/platform/tests/test_following.py
+++ b/verbenagrade/platform/tests/test_following.py
@@ -227,3 +227,16 @@
     testbed.store.status = 503
     await testbed.wait_until(lambda: testbed.core.configuration_freshness.unavailable)
     assert metrics.store_away.get({}) >= 1
+
+
+# Guards against a new process that passes on calls which are known to crash endpoints,
+# and against one that never gets ready because only a part of the store responds.
+async def test_process_is_ready_2_s_after_its_start_if_the_fleet_is_not_known(testbed):
+    testbed.store.silent_table = "fleet"
+    await testbed.add_endpoint(plain())
+    await testbed.start(configuration_document())
+    await testbed.wait_until(lambda: testbed.core.directory_loaded)
+    assert not testbed.core.ready
+    await testbed.wait_until_ready()
+    assert not testbed.core.fleet.loaded
+    assert testbed.core.clock() - testbed.core.started_at >= 2.0
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -21,6 +21,12 @@
 __all__ = ["BodyBytes", "CrashCheck", "GatewayCore"]
 
 
+FLEET_PATIENCE_S = 2.0
+"""Time after the start, in seconds, for which a process is not ready because it does
+not know yet what crashes endpoints. A store that is partly down must not keep it
+longer."""
+
+
 class BodyBytes:
     """The bytes of the bodies of all calls in flight; ``total`` is their sum.
 
@@ -91,6 +97,7 @@
         self.metrics = GatewayMetrics()
         self.in_flight = 0
         self.body_bytes = BodyBytes()
+        self.started_at = clock()
         self.stopping = False
         self.rejecting_calls = False
         self.background: set[asyncio.Task[None]] = set()
@@ -99,8 +106,10 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer may send new calls to this process."""
-        loaded = self.directory_loaded and self.fleet.loaded
-        return self.route_index is not None and loaded and not self.stopping
+        running_s = self.clock() - self.started_at
+        fleet_known = self.fleet.loaded or running_s > FLEET_PATIENCE_S
+        loaded = self.route_index is not None and self.directory_loaded
+        return loaded and fleet_known and not self.stopping
 
     def run_in_background(self, coroutine: Coroutine[None, None, None]) -> None:
         """Runs a coroutine as a task that no caller waits for."""
