Remove the rows of trials with the crashes that they tried

A part that was cleared and convicted wrongly a second time was tried after 60 s instead of 3 s: its first trial's row was still in the store, because the count of trials was forgotten with the last crash, before the rows were removed. Found by reading; the test fails without the change.

--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -167,9 +167,10 @@
         Returns whether rows held crashes against them, which ``write_removals``
         removes.
         """
+        trials = {part: self.suspects.trials.get(part, 0) for part in parts}
         cleared = self.suspects.record_survival(parts, sent_at)
         for part in {part for part, _ in cleared}:
-            self._remove_trials(part)
+            self._remove_trials(part, trials[part])
         for part, endpoint in cleared:
             key = f"{FLEET_TABLE}//suspect/{part}/{endpoint}"
             self.crash_times.pop(key, None)
@@ -192,6 +193,7 @@
                 (Check(key, 0),), (Write(key, self._value(key)),)
             )
         except PlatformError as error:
+            self.crash_times.pop(key, None)
             log_event(Event.CRASH_NOT_REPORTED, rows=1, reason=str(error))
             return False
         finally:
@@ -244,9 +246,10 @@
         elif kind == "trial":
             self.suspects.trials.pop(names[0], None)
 
-    def _remove_trials(self, part: str) -> None:
+    def _remove_trials(self, part: str, count: int) -> None:
         """Forgets the trials of a part that was shown to be sound."""
-        for number in range(self.suspects.trials.pop(part, 0)):
+        self.suspects.trials.pop(part, None)
+        for number in range(count):
             key = f"{FLEET_TABLE}//trial/{part}/{number}"
             self.crash_times.pop(key, None)
             self._remove_row(key)
--- a/verbenagrade/coordination/tests/test_crashing_parts.py
+++ b/verbenagrade/coordination/tests/test_crashing_parts.py
@@ -367,6 +367,29 @@
     assert not [key for key in site.store.rows if "suspect" in key]
 
 
+# Guards against a part that is convicted wrongly for a second time and not tried soon,
+# because the rows of its first trial are still there.
+async def test_part_is_tried_again_soon_after_a_second_conviction():
+    site = Site(0, "none")
+    fleet = site.vms[0].fleet
+    await fleet.announce()
+    for round_number in range(2):
+        for number in range(3):
+            site.clock.now += 1.0
+            incarnation = f"i-{number}@{round_number}"
+            await fleet.report_suspects(("p",), incarnation, site.clock())
+        site.clock.now += 1.0
+        assert fleet.suspects.find_convicted(("p",), site.clock(), True) == "p"
+        assert not await fleet.try_part("p")
+        site.clock.now += 3.0
+        assert await fleet.try_part("p")
+        assert not await fleet.try_part("p")
+        assert fleet.record_survival(("p",), site.clock())
+        await fleet.write_removals()
+        assert fleet.suspects.find_convicted(("p",), site.clock(), True) == ""
+        assert not [key for key in site.store.rows if "/vm/" not in key]
+
+
 def test_number_of_suspects_is_bounded():
     fleet = Site(0, "none").vms[0].fleet
     for number in range(20_000):
