--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from soak.run import run_seed
+from soak.run import run_crash_seed, run_seed
 
 EXIT_VIOLATIONS = 1
 
@@ -20,11 +20,17 @@
         bool, typer.Option(help="Let the store come back from older copies.")
     ] = False,
     faults: Annotated[bool, typer.Option(help="Inject all other faults.")] = True,
+    crashes: Annotated[
+        bool, typer.Option(help="Send calls that crash endpoints by a part instead.")
+    ] = False,
 ) -> None:
     """Runs the seeds one after another and prints each violated invariant."""
     failed = 0
     for seed in range(first, first + seeds):
-        report = asyncio.run(run_seed(seed, seconds, drills, faults))
+        if crashes:
+            report = asyncio.run(run_crash_seed(seed, seconds))
+        else:
+            report = asyncio.run(run_seed(seed, seconds, drills, faults))
         failed += bool(report.violations)
         typer.echo(
             f"seed {seed}: {report.run_count} runs, {report.spent_tokens} tokens,"
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,10 +7,11 @@
 
 from soak.checks import Violation
 from soak.clients import Client
+from soak.crashes import play_crashes
 from soak.environment import SoakEnvironment
 from soak.faults import inject_drills, inject_faults
 
-__all__ = ["SoakReport", "run_seed"]
+__all__ = ["SoakReport", "run_crash_seed", "run_seed"]
 
 CLIENTS = 10
 FAULT_INJECTORS = 2
@@ -82,3 +83,26 @@
         )
         for n in range(CLIENTS)
     ]
+
+
+async def run_crash_seed(seed: int, seconds: float) -> SoakReport:
+    """Runs gateways, calls that crash endpoints, and faults for ``seconds``.
+
+    ``status_counts`` are those of the sound calls after the faults, and ``run_count``
+    is the number of calls with the part at fault that reached endpoints.
+    """
+    environment = SoakEnvironment(2 * seed)
+    environment.store.era = 1
+    await environment.start()
+    try:
+        statuses, received, violations = await play_crashes(environment, seed, seconds)
+    finally:
+        await environment.stop()
+    return SoakReport(
+        seed=seed,
+        status_counts=dict(sorted(statuses.items())),
+        run_count=received,
+        spent_tokens=0,
+        violations=tuple(violations),
+        log_directory=environment.log_directory,
+    )
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak.run import run_seed
+from soak.run import run_crash_seed, run_seed
 
 SECONDS = 8.0
 SEEDS = (1, 2)
@@ -24,3 +24,10 @@
     report = await run_seed(seed, SECONDS)
     assert report.violations == ()
     assert report.status_counts.get("200", 0) > 100
+
+
+# Calls crash endpoints by a part of their prompts, beside other faults.
+async def test_crashing_calls_are_stopped_and_sound_ones_served():
+    report = await run_crash_seed(1, SECONDS)
+    assert report.violations == ()
+    assert report.status_counts.get("200", 0) > 50
