--- a/verbenagrade/commands/gateway.py
+++ b/verbenagrade/commands/gateway.py
@@ -1,8 +1,13 @@
 """``verbenagrade-gateway``: forwards the requests of callers to endpoints."""
 
+import signal
+
+if __name__ == "__main__":
+    # Until there is a handler, SIGHUP would end the process; the imports take long.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import asyncio
 import os
-import signal
 from pathlib import Path
 from typing import Annotated
 
--- a/verbenagrade/platform/tests/test_bad_input.py
+++ b/verbenagrade/platform/tests/test_bad_input.py
@@ -147,6 +147,27 @@
         process.wait()
 
 
+HANG_UP_DURING_IMPORT = """
+import builtins, os, runpy, signal, sys
+original = builtins.__import__
+def hang_up(name, *args, **options):
+    if name == "typer":
+        os.kill(os.getpid(), signal.SIGHUP)
+    return original(name, *args, **options)
+builtins.__import__ = hang_up
+sys.argv = ["verbenagrade-gateway", "--help"]
+runpy.run_module("verbenagrade.commands.gateway", run_name="__main__")
+"""
+
+
+# Guards against a process that SIGHUP ends while it starts.
+def test_signal_to_reload_during_the_start_does_not_end_the_process():
+    command = [sys.executable, "-c", HANG_UP_DURING_IMPORT]
+    result = subprocess.run(command, capture_output=True, timeout=60)
+    assert result.returncode == 0
+    assert b"SETTINGS" in result.stdout
+
+
 async def test_call_that_crashes_three_endpoints_is_not_sent_again(testbed):
     """A call with the same path, key and body is recognised, also by other VMs."""
     endpoints = [await testbed.add_endpoint(reset()) for _ in range(5)]
