--- a/verbenagrade/state/crash_suspects.py
+++ b/verbenagrade/state/crash_suspects.py
@@ -40,7 +40,7 @@
 with the part. If it brings a response, the part was convicted wrongly."""
 
 SUSPICION_S = 600.0
-"""Time after the last crash until a part is no longer suspected, in seconds."""
+"""Time after a crash until it no longer counts against any part, in seconds."""
 
 MAX_SUSPECTS = 5_000
 MAX_SURVIVORS = 5_000
