Log how many connections each failed attempt has opened

Events 204 and 212 name the kind of a failure, but "unreachable" did not tell whether a connection had been opened before. The field connections separates the first hypothesis of the incident (crashes taken for connections that could not be opened) from the others. The connector that recorded how a connection closed moves to a module of its own and counts as well; nothing is decided by the count yet.

--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -9,6 +9,7 @@
 from verbenagrade.state.outcome import RequestOutcome
 from verbenagrade.state.placement import Placement
 from verbenagrade.state.routes import RouteEntry, WorkspaceEntry
+from verbenagrade.transport.sends import SentRequest
 
 __all__ = ["Call", "CallProgress", "CallResult"]
 
@@ -81,8 +82,8 @@
     attempts after which the call may have run. ``successor`` is the endpoint that
     takes over next, for which a retry was taken. ``kept_logged`` is set once it was
     logged that the call stays at a slow endpoint. ``sent_at`` is when the present
-    attempt began, and ``events_before_attempt`` counts the events delivered until then.
-    Times are in seconds, on the clock of the process.
+    attempt began, ``sent`` has its connections, and ``events_before_attempt`` counts
+    the events delivered until then. Times are in seconds, on the clock of the process.
     """
 
     def __init__(self, resume_after: str) -> None:
@@ -96,6 +97,7 @@
         self.last_event_id = resume_after
         self.delivered_events = 0
         self.sent_at = 0.0
+        self.sent = SentRequest()
         self.events_before_attempt = 0
         self.granted_at = 0.0
         self.last_event_at = 0.0
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -29,6 +29,7 @@
 )
 from verbenagrade.transport.gateway.handover import may_be_handed_over
 from verbenagrade.transport.gateway.upstream import UpstreamResponse, open_upstream
+from verbenagrade.transport.sends import SentRequest
 
 __all__ = ["ForwardResult", "forward"]
 
@@ -126,6 +127,7 @@
     """
     patience_s = _first_response_patience_s(core, call, progress, entry)
     progress.sent_at = core.clock()
+    progress.sent = SentRequest()
     progress.events_before_attempt = progress.delivered_events
     core.placement.sent(entry, call.head.call_id, call.shape, core.clock())
     if progress.placements == 1:
@@ -235,6 +237,7 @@
         call=call.head.call_id,
         endpoint=entry.name,
         failure=failure.value,
+        connections=progress.sent.connections,
         reason=str(error),
         left_s=round(call.deadline - now, 3),
     )
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -8,12 +8,9 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from contextvars import ContextVar
 from dataclasses import dataclass
 
 import aiohttp
-from aiohttp.connector import Connection
-from aiohttp.tracing import Trace
 from yarl import URL
 
 from verbenagrade.exceptions import (
@@ -26,50 +23,17 @@
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.handover import hand_over
+from verbenagrade.transport.sends import RecordingConnector, record_connections
 
 __all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
 
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
-_connection_end: ContextVar[asyncio.Future[None] | None] = ContextVar(
-    "connection_end", default=None
-)
-
-
-class EndpointConnector(aiohttp.TCPConnector):
-    """Exposes how a connection was closed, by ``_connection_end``.
-
-    A response releases its connection with the last byte, so the future for the
-    end of the connection has to be obtained when the connection is opened.
-    """
-
-    async def connect(
-        self,
-        req: aiohttp.ClientRequest,
-        traces: list[Trace],
-        timeout: aiohttp.ClientTimeout,
-    ) -> Connection:
-        """Opens a connection and stores its closing future in the task's context."""
-        connection = await super().connect(req, traces, timeout)
-        protocol = connection.protocol
-        closed = protocol.closed if protocol is not None else None
-        if closed is not None:
-            closed.add_done_callback(_mark_retrieved)
-        _connection_end.set(closed)
-        return connection
-
-
-def _mark_retrieved(closed: asyncio.Future[None]) -> None:
-    """Retrieves the exception, so that asyncio does not log a late reset."""
-    if not closed.cancelled():
-        closed.exception()
-
-
 def endpoint_session() -> aiohttp.ClientSession:
     """Returns a session without keep-alive, cookies or decompression."""
     return aiohttp.ClientSession(
-        connector=EndpointConnector(limit=0, force_close=True),
+        connector=RecordingConnector(limit=0, force_close=True),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
@@ -248,16 +212,17 @@
     headers = core.call_format.endpoint_headers(call.headers, endpoint_call)
     url = URL(f"http://{attempt.entry.address}{call.head.path}", encoded=True)
     connect_s = core.settings.tuning.connect_s
-    response = await core.session.request(
-        call.method,
-        url,
-        headers=headers,
-        data=call.body or None,
-        allow_redirects=False,
-        skip_auto_headers=SKIPPED_HEADERS,
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
-    )
-    return OpenResponse(response, _connection_end.get())
+    with record_connections(progress.sent):
+        response = await core.session.request(
+            call.method,
+            url,
+            headers=headers,
+            data=call.body or None,
+            allow_redirects=False,
+            skip_auto_headers=SKIPPED_HEADERS,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_s),
+        )
+    return OpenResponse(response, progress.sent.closed)
 
 
 HIGHEST_PRIORITY = 0
