--- a/verbenagrade/platform/tests/conftest.py
+++ b/verbenagrade/platform/tests/conftest.py
@@ -121,7 +121,7 @@
         )
 
     @asynccontextmanager
-    async def open(self, path, key=API_KEY, body=b"hello", **headers):
+    async def open(self, path, key=API_KEY, body=b"hello", method="POST", **headers):
         request_headers = {
             "Host": "site.example",
             "Request-Id": f"call-{next(self.call_numbers)}",
@@ -130,8 +130,8 @@
         }
         if key:
             request_headers["Authorization"] = f"Bearer {key}"
-        async with self.session.post(
-            self.url() + path, headers=request_headers, data=body
+        async with self.session.request(
+            method, self.url() + path, headers=request_headers, data=body
         ) as response:
             yield response
 
