Send each attempt over one connection

What callers saw: a read under which three endpoints had ended reached endpoints four times more, 16 ended in all, and its callers got 503, which says that it has not run.

Cause: aiohttp repeats GET, HEAD, PUT, DELETE, OPTIONS and TRACE over a new connection if a connection closes without a response, also a fresh one. An endpoint that has crashed refuses the second connection, and the gateway took that for an attempt that had sent nothing: no run, no crash reported, no retry taken from the budget, on to the next endpoint. An endpoint that lives gets the call a second time, also if it may run at most once. Class: a decision of ours (whether a call may run again) that a library takes as well, by other rules.

Why it works: within send_once the connector opens one connection for a request; a second one raises the error of the first, so that the outcome is unknown. An attempt that could not connect at all is still known not to have run.

The object store's PUT recognises its own batch after a repeat, and reads of the store may be repeated.

Ruled out: reports that are not shared and digests that differ; neither explains three runs on a route that allows two, nor 503.

--- a/verbenagrade/commands/client.py
+++ b/verbenagrade/commands/client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from verbenagrade.exceptions import VerbenagradeError
+from verbenagrade.transport.sends import SingleSendConnector, send_once
 
 __all__ = ["ControlError", "call_control"]
 
@@ -30,14 +31,17 @@
     data = None if body is None else msgspec.json.encode(body)
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
     try:
-        async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.request(method, url, data=data) as response,
-        ):
-            content = await response.read()
-            if not response.ok:
-                raise ControlError(_problem_message(content))
-            return msgspec.json.decode(content, type=response_type)
+        with send_once():
+            async with (
+                aiohttp.ClientSession(
+                    connector=SingleSendConnector(), timeout=timeout
+                ) as session,
+                session.request(method, url, data=data) as response,
+            ):
+                content = await response.read()
+        if not response.ok:
+            raise ControlError(_problem_message(content))
+        return msgspec.json.decode(content, type=response_type)
     except (aiohttp.ClientError, TimeoutError) as error:
         raise ControlError(f"{url}: {error}; try another control process") from error
 
--- a/verbenagrade/transport/connections.py
+++ b/verbenagrade/transport/connections.py
@@ -12,6 +12,7 @@
     table_port,
     vm_list_port,
 )
+from verbenagrade.transport.sends import SingleSendConnector
 
 __all__ = ["Connections"]
 
@@ -31,7 +32,7 @@
             connector=aiohttp.TCPConnector(local_addr=(settings.address, 0))
         )
         self.endpoint_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+            connector=SingleSendConnector(limit=0, force_close=True)
         )
         self.table = table_port(self.platform_session, settings.platform)
         self.objects = object_store_port(self.platform_session, settings.platform)
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -12,6 +12,7 @@
     UpstreamUnreachableError,
 )
 from verbenagrade.protocol.chat import EngineRecord
+from verbenagrade.transport.sends import send_once
 
 __all__ = ["EndpointClient"]
 
@@ -23,7 +24,7 @@
     """Sends attempts to endpoints and queries or stops them.
 
     ``connect_s`` limits the time to connect, ``progress_s`` the time without data,
-    both in seconds.
+    both in seconds. ``session`` needs a ``SingleSendConnector``.
     """
 
     def __init__(
@@ -51,9 +52,11 @@
         """
         headers = {ATTEMPT_HEADER: attempt, "Content-Type": content_type}
         try:
-            async with self.session.request(
-                method, url, data=body, headers=headers, timeout=self.timeout
-            ) as response:
+            with send_once():
+                response = await self.session.request(
+                    method, url, data=body, headers=headers, timeout=self.timeout
+                )
+            async with response:
                 yield response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachableError(
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -23,7 +23,7 @@
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.handover import hand_over
-from verbenagrade.transport.sends import RecordingConnector, record_connections
+from verbenagrade.transport.sends import SingleSendConnector, send_once
 
 __all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
 
@@ -33,7 +33,7 @@
 def endpoint_session() -> aiohttp.ClientSession:
     """Returns a session without keep-alive, cookies or decompression."""
     return aiohttp.ClientSession(
-        connector=RecordingConnector(limit=0, force_close=True),
+        connector=SingleSendConnector(limit=0, force_close=True),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
@@ -212,7 +212,7 @@
     headers = core.call_format.endpoint_headers(call.headers, endpoint_call)
     url = URL(f"http://{attempt.entry.address}{call.head.path}", encoded=True)
     connect_s = core.settings.tuning.connect_s
-    with record_connections(progress.sent):
+    with send_once(progress.sent):
         response = await core.session.request(
             call.method,
             url,
--- a/verbenagrade/transport/sends.py
+++ b/verbenagrade/transport/sends.py
@@ -1,10 +1,12 @@
-"""Records the connections that a request opens, and how the last one closed.
+"""Sends each request at most once, and records its connection.
 
-A request that is sent over HTTP may need more than one connection: the client library
-repeats methods that HTTP calls idempotent if a connection closes without a response.
+The HTTP library sends a request again, over another connection, if a connection closes
+without a response and the method is one that HTTP calls idempotent. Whether a call may
+run again is for its route to say, and the server may have run it already. Requests
+within ``send_once`` therefore open one connection.
 
->>> with record_connections() as sent:
-...     pass  # session.request(...), with a session that has a RecordingConnector
+>>> with send_once() as sent:
+...     pass  # session.request(...), with a session that has a SingleSendConnector
 >>> sent.connections
 0
 """
@@ -18,14 +20,13 @@
 from aiohttp.connector import Connection
 from aiohttp.tracing import Trace
 
-__all__ = ["RecordingConnector", "SentRequest", "record_connections"]
+__all__ = ["SentRequest", "SingleSendConnector", "send_once"]
 
 
 class SentRequest:
-    """The connections of one request.
+    """The connection of one request.
 
-    ``connections`` counts those that were opened, and ``closed`` is done when the last
-    one has closed.
+    ``connections`` is 1 once it was opened, and ``closed`` is done when it has closed.
     """
 
     def __init__(self) -> None:
@@ -37,8 +38,8 @@
 
 
 @contextmanager
-def record_connections(sent: SentRequest | None = None) -> Iterator[SentRequest]:
-    """Records the connections that the present task opens for one request."""
+def send_once(sent: SentRequest | None = None) -> Iterator[SentRequest]:
+    """Lets the present task open one connection, for one request, and records it."""
     sent = sent or SentRequest()
     token = _sent_request.set(sent)
     try:
@@ -47,8 +48,8 @@
         _sent_request.reset(token)
 
 
-class RecordingConnector(aiohttp.TCPConnector):
-    """Opens connections and records them for ``record_connections``.
+class SingleSendConnector(aiohttp.TCPConnector):
+    """Opens at most one connection for a request within ``send_once``.
 
     A response releases its connection with the last byte, so the future for the
     end of the connection has to be obtained when the connection is opened.
@@ -60,8 +61,15 @@
         traces: list[Trace],
         timeout: aiohttp.ClientTimeout,
     ) -> Connection:
-        """Opens a connection, or takes one that is kept open, and records it."""
+        """Opens a connection, or takes one that is kept open, and records it.
+
+        Raises ``aiohttp.ServerDisconnectedError`` if the request has had one.
+        """
         sent = _sent_request.get()
+        if sent is not None and sent.connections:
+            raise aiohttp.ServerDisconnectedError(
+                "the connection closed without a response; the request may have run"
+            )
         connection = await super().connect(req, traces, timeout)
         if sent is None:
             return connection
