--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,12 +3,14 @@
 import asyncio
 import itertools
 import random
+import zlib
 
 import aiohttp
 
 from soak.checks import InvariantChecker
 from soak.endpoints import EVENTS_PER_STREAM
 from verbenagrade.platform.tests.caller import call_headers
+from verbenagrade.transport.sends import SingleSendConnector, send_once
 
 __all__ = ["Client"]
 
@@ -17,6 +19,7 @@
 DEADLINE_S = 2.0
 EARLY_TIMEOUT_S = 0.1
 EARLY_TIMEOUT_PROBABILITY = 0.05
+METHODS = ("POST", "GET", "PUT", "POST")
 PATHS = ("/safe/x", "/once/x", "/resume/x", "/stream/x")
 API_KEY = "key-of-hotel"
 
@@ -39,7 +42,8 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Sends calls until ``stop`` is set."""
-        async with aiohttp.ClientSession() as session:
+        connector = SingleSendConnector()
+        async with aiohttp.ClientSession(connector=connector) as session:
             while not stop.is_set():
                 await self._call(session, f"{self.name}-{next(self.call_numbers)}")
                 await asyncio.sleep(self.rng.uniform(0.0, 0.05))
@@ -59,17 +63,21 @@
         if self.rng.random() < EARLY_TIMEOUT_PROBABILITY:
             timeout_s = EARLY_TIMEOUT_S
         url = f"http://{self.rng.choice(self.addresses)}{path}"
+        method = METHODS[zlib.crc32(call.encode()) % len(METHODS)]
         body = bytearray()
         status, complete = 0, False
         try:
-            async with (
-                asyncio.timeout(timeout_s),
-                session.post(url, headers=headers, data=call.encode()) as response,
-            ):
-                status = response.status
-                async for chunk in response.content.iter_any():
-                    body += chunk
-                complete = True
+            with send_once():
+                async with (
+                    asyncio.timeout(timeout_s),
+                    session.request(
+                        method, url, headers=headers, data=call.encode()
+                    ) as response,
+                ):
+                    status = response.status
+                    async for chunk in response.content.iter_any():
+                        body += chunk
+                    complete = True
         except (aiohttp.ClientError, OSError, TimeoutError):
             # The gateway was lost or this client timed out. The part of the
             # response that was received is still checked.
