Log the limits that endpoints name

The adapter decodes the limit on calls that a response names, a gateway records the last one of each endpoint incarnation, and event 223 is logged when it changes, with the time since the call was sent. Nothing is decided by it yet.

--- a/verbenagrade/platform/headers.py
+++ b/verbenagrade/platform/headers.py
@@ -1,5 +1,6 @@
 """Decodes and encodes the HTTP headers of the users' platform."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict
@@ -107,7 +108,8 @@
     """Decodes the headers of an endpoint's response to the call ``call_id``.
 
     Status 421 and the header ``Not-Executed`` both state that the call did not
-    run. A response without ``Request-Id`` is assumed to belong to this call.
+    run. A response without ``Request-Id`` is assumed to belong to this call. A limit
+    that can't be read is treated as one that is not named.
     """
     not_run = status == 421 or "Not-Executed" in headers
     return ResponseHead(
@@ -115,6 +117,7 @@
         not_run=not_run,
         matches_call=headers.get("Request-Id", call_id) == call_id,
         signed="Server-Seal" in headers,
+        limit_per_s=_parse_limit(headers.get("Server-Limit", "")),
     )
 
 
@@ -137,6 +140,15 @@
 )
 
 
+def _parse_limit(text: str) -> float | None:
+    """Returns the calls per second of ``Server-Limit``, ``None`` if there are none."""
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    return limit_per_s if 0.0 <= limit_per_s < math.inf else None
+
+
 def _parse_token_bound(text: str) -> TokenBound:
     if not text:
         return TokenBound()
--- a/verbenagrade/protocol/calls.py
+++ b/verbenagrade/protocol/calls.py
@@ -36,13 +36,15 @@
 
     ``not_run`` is set if the endpoint guarantees that the call did not run there.
     ``matches_call`` is false for a late response to another call. ``signed`` is set if
-    the response has the endpoint's signature.
+    the response has the endpoint's signature. ``limit_per_s`` is the number of calls
+    per second that the endpoint takes from all VMs together, ``None`` if it names none.
     """
 
     status: int
     not_run: bool
     matches_call: bool
     signed: bool
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 
 import aiohttp
 
@@ -14,6 +14,7 @@
 from verbenagrade.protocol.calls import CallFormat
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.directory import EndpointDirectory, EndpointEntry
+from verbenagrade.state.endpoint_limits import EndpointLimits
 from verbenagrade.state.placement import PlacementTable
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
@@ -101,6 +102,7 @@
         self.stopping = False
         self.rejecting_calls = False
         self.background: set[asyncio.Task[None]] = set()
+        self.limits = EndpointLimits()
         self.crash_checks: dict[str, CrashCheck] = {}
 
     @property
@@ -111,6 +113,11 @@
         loaded = self.route_index is not None and self.directory_loaded
         return loaded and fleet_known and not self.stopping
 
+    def forget_endpoints(self, names: Iterable[str]) -> None:
+        """Forgets what is known of endpoint incarnations that have ended."""
+        self.placement.forget(names)
+        self.limits.forget(names)
+
     def run_in_background(self, coroutine: Coroutine[None, None, None]) -> None:
         """Runs a coroutine as a task that no caller waits for."""
         task = asyncio.create_task(coroutine)
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -28,6 +28,7 @@
     deliver_stream,
 )
 from verbenagrade.transport.gateway.handover import may_be_handed_over
+from verbenagrade.transport.gateway.limits import record_limit
 from verbenagrade.transport.gateway.upstream import UpstreamResponse, open_upstream
 from verbenagrade.transport.sends import SentRequest
 
@@ -164,6 +165,7 @@
     upstream: UpstreamResponse,
 ) -> web.StreamResponse:
     head = upstream.head
+    record_limit(core, call, progress, entry, head)
     if head.not_run:
         raise SendFailedError(Failure.NOT_RUN, f"status {head.status}, not run")
     if head.status in NOT_RUN_STATUSES:
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -248,7 +248,7 @@
         change = apply_endpoints(
             core.directory, changes, self.adapter.documents, self.clock()
         )
-        core.placement.forget(change.ended)
+        core.forget_endpoints(change.ended)
         core.directory_loaded = True
 
     def _record_response(self, response: TableResponse) -> None:
--- a/verbenagrade/transport/gateway/upkeep.py
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -18,7 +18,7 @@
     while True:
         await asyncio.sleep(EXPIRY_INTERVAL_S)
         change = core.directory.expire(core.clock())
-        core.placement.forget(change.ended)
+        core.forget_endpoints(change.ended)
         for name in change.ended:
             log_event(Event.ENDPOINT_GONE, endpoint=name)
 
