Add failing tests of the limits that endpoints name

Three gateways send 79 calls in 4 s to an endpoint that names 2 a second; 17 are the most. The only endpoint of a service gets all calls. The testbed starts further gateways on one store.

--- a/verbenagrade/platform/tests/conftest.py
+++ b/verbenagrade/platform/tests/conftest.py
@@ -1,6 +1,7 @@
 """Testbed with a gateway in this process and stand-ins for the store and endpoints."""
 
 import asyncio
+import itertools
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -70,8 +71,10 @@
         self.stop = asyncio.Event()
         self.gateway: Gateway | None = None
         self.gateway_task: asyncio.Task | None = None
+        self.others: list[Gateway] = []
+        self.other_tasks: list[asyncio.Task] = []
         self.session: aiohttp.ClientSession | None = None
-        self.call_numbers = iter(range(1, 1000))
+        self.call_numbers = itertools.count(1)
 
     @property
     def core(self):
@@ -87,8 +90,20 @@
     async def start(self, document=None, tuning=None, bounds=BOUNDS) -> None:
         if document is not None:
             self.store.put("op", "config", document)
+        self.gateway = self._new_gateway("front-1", tuning, bounds)
+        self.gateway_task = asyncio.create_task(self.gateway.run(self.stop))
+        await self.wait_until(lambda: len(self.gateway.runners) == 3)
+
+    async def start_another(self) -> None:
+        """Starts one more gateway on the same store; ``stop`` ends it too."""
+        gateway = self._new_gateway(f"front-{len(self.others) + 2}", None, BOUNDS)
+        self.others.append(gateway)
+        self.other_tasks.append(asyncio.create_task(gateway.run(self.stop)))
+        await self.wait_until(lambda: len(gateway.runners) == 3 and gateway.core.ready)
+
+    def _new_gateway(self, vm, tuning, bounds) -> Gateway:
         settings = GatewaySettings(
-            vm="front-1",
+            vm=vm,
             data_centre="muscat-a",
             regions={"muscat-a": "muscat"},
             listen=ListenSettings("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1", 0),
@@ -98,12 +113,11 @@
             tuning=tuning or TuningSettings(feed_wait_s=0.3, store_timeout_s=0.4),
         )
         adapter = PlatformAdapter(CALL_FORMAT, DOCUMENT_FORMAT, store_port)
-        self.gateway = Gateway(settings, adapter)
-        self.gateway_task = asyncio.create_task(self.gateway.run(self.stop))
-        await self.wait_until(lambda: len(self.gateway.runners) == 3)
+        return Gateway(settings, adapter)
 
-    def url(self, listener=0) -> str:
-        return f"http://127.0.0.1:{self.gateway.runners[listener].addresses[0][1]}"
+    def url(self, listener=0, gateway=None) -> str:
+        runner = (gateway or self.gateway).runners[listener]
+        return f"http://127.0.0.1:{runner.addresses[0][1]}"
 
     async def wait_until(self, condition, timeout_s=5.0) -> None:
         for _ in range(int(timeout_s / POLL_INTERVAL_S)):
@@ -121,7 +135,15 @@
         )
 
     @asynccontextmanager
-    async def open(self, path, key=API_KEY, body=b"hello", method="POST", **headers):
+    async def open(
+        self,
+        path,
+        key=API_KEY,
+        body=b"hello",
+        method="POST",
+        gateway=None,
+        **headers,
+    ):
         request_headers = {
             "Host": "site.example",
             "Request-Id": f"call-{next(self.call_numbers)}",
@@ -131,7 +153,10 @@
         if key:
             request_headers["Authorization"] = f"Bearer {key}"
         async with self.session.request(
-            method, self.url() + path, headers=request_headers, data=body
+            method,
+            self.url(gateway=gateway) + path,
+            headers=request_headers,
+            data=body,
         ) as response:
             yield response
 
@@ -149,16 +174,24 @@
         connector=aiohttp.TCPConnector(force_close=True)
     )
     yield testbed
-    if testbed.gateway_task is not None:
-        testbed.gateway_task.cancel()
-        for runner in testbed.gateway.runners:
-            runner.server.shutdown_timeout = 0.1
-            await runner.cleanup()
-        for task in testbed.gateway.tasks:
-            task.cancel()
-        await testbed.gateway.endpoint_session.close()
-        await testbed.gateway.store_session.close()
+    gateways = [testbed.gateway] if testbed.gateway_task is not None else []
+    tasks = [testbed.gateway_task] if testbed.gateway_task is not None else []
+    for task in tasks + testbed.other_tasks:
+        task.cancel()
+    for gateway in gateways + testbed.others:
+        await _end(gateway)
     await testbed.session.close()
     for endpoint in testbed.endpoints:
         await endpoint.stop()
     await testbed.store.stop()
+
+
+async def _end(gateway) -> None:
+    """Closes the connections of a gateway whose task was cancelled."""
+    for runner in gateway.runners:
+        runner.server.shutdown_timeout = 0.1
+        await runner.cleanup()
+    for task in gateway.tasks:
+        task.cancel()
+    await gateway.endpoint_session.close()
+    await gateway.store_session.close()
--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -102,11 +102,12 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def plain(body=b"done", status="200 OK"):
-    """Sends a complete response."""
+def plain(body=b"done", status="200 OK", **headers):
+    """Sends a complete response, with further headers."""
 
     async def handle(request, writer):
-        writer.write(_response_head(request, status, Content_Length=len(body)) + body)
+        head = _response_head(request, status, Content_Length=len(body), **headers)
+        writer.write(head + body)
         await writer.drain()
 
     return handle
--- /dev/null
+++ b/verbenagrade/platform/tests/test_endpoint_limits.py
@@ -0,0 +1,98 @@
+"""Tests of endpoints that name how many calls a second they take from all VMs."""
+
+import asyncio
+import itertools
+
+from verbenagrade.platform.tests.conftest import configuration_document
+from verbenagrade.platform.tests.endpoint_standin import plain
+
+LIMIT_PER_S = 2.0
+WINDOW_S = 4.0
+STABLE_S = 4.0
+EXCESS_FACTOR = 1.5
+EXCESS_CALLS = 5
+CALLS_PER_S = 30
+PLAY_S = 9.0
+MIN_USED_FRACTION = 0.5
+
+
+class LimitedEndpoint:
+    """An endpoint that names ``limit``, and the times at which calls arrived."""
+
+    def __init__(self, endpoint) -> None:
+        self.limit: float | None = LIMIT_PER_S
+        self.arrivals: list[float] = []
+        endpoint.handlers = [self.handle]
+
+    async def handle(self, request, writer) -> None:
+        self.arrivals.append(asyncio.get_running_loop().time())
+        headers = {} if self.limit is None else {"Server_Limit": self.limit}
+        await plain(**headers)(request, writer)
+
+    def most_in_window(self, since: float) -> int:
+        """Returns the largest number of calls in a window that ends after a time."""
+        return max(
+            sum(end - WINDOW_S < at <= end for at in self.arrivals)
+            for end in [since, *(at for at in self.arrivals if at > since)]
+        )
+
+    def count(self, start: float, end: float) -> int:
+        return sum(start <= at < end for at in self.arrivals)
+
+
+async def start_fleet(testbed, gateways: int, endpoints: int) -> LimitedEndpoint:
+    """Starts gateways and endpoints, of which the last one names a limit."""
+    for _ in range(endpoints):
+        await testbed.add_endpoint(plain())
+    limited = LimitedEndpoint(testbed.endpoints[-1])
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    for _ in range(gateways - 1):
+        await testbed.start_another()
+    return limited
+
+
+async def play(testbed, seconds: float, path="/safe/x") -> list[int]:
+    """Sends calls to the gateways in turn; returns their statuses."""
+    gateways = itertools.cycle([testbed.gateway, *testbed.others])
+    tasks = []
+    for _ in range(int(seconds * CALLS_PER_S)):
+        call = testbed.call(path, gateway=next(gateways))
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(1 / CALLS_PER_S)
+    return [status for status, _, _ in await asyncio.gather(*tasks)]
+
+
+# Guards against an endpoint in need that gets as many calls as before, because nobody
+# keeps the limit that it names, or each gateway keeps all of it by itself.
+async def test_all_gateways_together_keep_the_limit_of_an_endpoint(testbed):
+    limited = await start_fleet(testbed, gateways=3, endpoints=3)
+    statuses = await play(testbed, PLAY_S)
+    assert set(statuses) == {200}
+    allowed = EXCESS_FACTOR * LIMIT_PER_S * WINDOW_S + EXCESS_CALLS
+    assert limited.most_in_window(limited.arrivals[0] + STABLE_S) <= allowed
+    last_window = asyncio.get_running_loop().time() - WINDOW_S
+    used = limited.count(last_window, last_window + WINDOW_S)
+    assert used >= MIN_USED_FRACTION * LIMIT_PER_S * WINDOW_S
+
+
+async def test_limit_ends_when_the_endpoint_names_none(testbed):
+    limited = await start_fleet(testbed, gateways=2, endpoints=2)
+    await play(testbed, 3.0)
+    limited.limit = None
+    await play(testbed, 3.0)
+    end = asyncio.get_running_loop().time()
+    assert limited.count(end - 1.5, end) > 3 * LIMIT_PER_S
+
+
+# Guards against calls that reach the only endpoint of a service beyond its limit, and
+# against refusals while it still takes calls.
+async def test_only_endpoint_gets_its_limit_and_other_calls_are_refused(testbed):
+    limited = await start_fleet(testbed, gateways=2, endpoints=1)
+    statuses = await play(testbed, PLAY_S)
+    assert set(statuses) == {200, 503}
+    allowed = EXCESS_FACTOR * LIMIT_PER_S * WINDOW_S + EXCESS_CALLS
+    assert limited.most_in_window(limited.arrivals[0] + STABLE_S) <= allowed
+    last_window = asyncio.get_running_loop().time() - WINDOW_S
+    used = limited.count(last_window, last_window + WINDOW_S)
+    assert used >= MIN_USED_FRACTION * LIMIT_PER_S * WINDOW_S
