Make the preference for the limited endpoint certain in its tests

Equally fast endpoints got calls by chance, so that one of the failing tests passed once and the test of the end failed once.

--- a/verbenagrade/platform/tests/test_endpoint_limits.py
+++ b/verbenagrade/platform/tests/test_endpoint_limits.py
@@ -4,7 +4,7 @@
 import itertools
 
 from verbenagrade.platform.tests.conftest import configuration_document
-from verbenagrade.platform.tests.endpoint_standin import plain
+from verbenagrade.platform.tests.endpoint_standin import delayed, plain
 
 LIMIT_PER_S = 2.0
 WINDOW_S = 4.0
@@ -13,6 +13,7 @@
 EXCESS_CALLS = 5
 CALLS_PER_S = 30
 PLAY_S = 9.0
+SLOW_S = 0.05
 MIN_USED_FRACTION = 0.5
 
 
@@ -41,9 +42,12 @@
 
 
 async def start_fleet(testbed, gateways: int, endpoints: int) -> LimitedEndpoint:
-    """Starts gateways and endpoints, of which the last one names a limit."""
+    """Starts gateways and endpoints, of which the last one names a limit.
+
+    The other endpoints are slower, so that all calls would go to the last one.
+    """
     for _ in range(endpoints):
-        await testbed.add_endpoint(plain())
+        await testbed.add_endpoint(delayed(SLOW_S, plain()))
     limited = LimitedEndpoint(testbed.endpoints[-1])
     await testbed.start(configuration_document())
     await testbed.wait_until_ready()
