Keep the limits on calls that endpoints name, over the whole fleet

What operators saw: an endpoint that named a limit of 2.9 calls a second got 26 in 4 s from VMs that it had told (22 allowed), one with 2 a second 23 (17 allowed).

Cause: nobody read the limit; placement went on as before. Class: a bound that holds for the sum over all VMs, named by somebody outside, with no place that knows it and no owner.

Why it works: each second of an endpoint is divided into slots, a row of the store has the time until which they are given out, and a VM takes slots for its own demand by a transaction that checks the row; so no slot is used twice, and none is kept by a VM without calls. What a VM hears of a limit, its change and its end goes to the fleet's table, the newest notice counts. Without the store a VM uses an even share of a quarter of the limit.

Ruled out: an even share for each VM, which leaves the limit unused where calls are uneven; retries, which were one attempt an endpoint in five seconds.

--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -98,7 +98,7 @@
 
     def apply(self, changes: Changes) -> None:
         """Applies changes of the table to the local state."""
-        self._learn_store_time(changes.store_time_s)
+        self.learn_store_time(changes.store_time_s)
         if changes.complete and not changes.restored:
             self.vms = {self.vm}
             self._forget_absent({row.key for row in changes.rows})
@@ -288,9 +288,10 @@
 
     async def _commit(self, writes: tuple[Write, ...]) -> None:
         commit = await self.table.commit((), writes)
-        self._learn_store_time(commit.store_time_s)
+        self.learn_store_time(commit.store_time_s)
 
-    def _learn_store_time(self, store_time_s: float | None) -> None:
+    def learn_store_time(self, store_time_s: float | None) -> None:
+        """Learns the store's clock from a response that tells its time, in seconds."""
         if store_time_s is not None:
             self.store_time_offset_s = store_time_s - self.clock()
 
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -47,6 +47,7 @@
     ENDPOINT_CRASH_FOUND = (221, logbook.WARNING, "endpoint crashed; calls suspected")
     PART_TRIED = (222, logbook.INFO, "call sent to try a part that crashed endpoints")
     ENDPOINT_LIMITED = (223, logbook.INFO, "endpoint named another limit, or none")
+    PERMITS_TAKEN = (224, logbook.INFO, "permits for a limited endpoint requested")
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
     GRANT_DELAYED = (302, logbook.WARNING, "grant not adjusted; platform unavailable")
--- a/verbenagrade/metrics/gateway.py
+++ b/verbenagrade/metrics/gateway.py
@@ -19,6 +19,13 @@
             "configuration_version", "Configuration version in use."
         )
         self.endpoints = self.gauge("endpoints", "Registered endpoints.")
+        self.limited_endpoints = self.gauge(
+            "limited_endpoints", "Endpoints that have named a limit on calls."
+        )
+        self.permits_missing = self.counter(
+            "permits_missing",
+            "Choices of an endpoint whose limit left no call for this VM.",
+        )
         self.store_era = self.gauge("store_era", "Era of the store, 0 if unknown.")
         self.budgets_settling = self.gauge(
             "budgets_settling", "Budgets that grant nothing since the era changed."
--- a/verbenagrade/state/directory.py
+++ b/verbenagrade/state/directory.py
@@ -76,6 +76,11 @@
         replaced = previous is not None and previous.started_ms != entry.started_ms
         return DirectoryChange((entry.name,) if replaced else ())
 
+    def has(self, incarnation: str) -> bool:
+        """Returns whether an endpoint incarnation is listed or may be again."""
+        entry = self.entries.get(incarnation.rpartition("@")[0])
+        return entry is not None and entry.incarnation == incarnation
+
     def remove(self, name: str, now: float) -> None:
         """Records that an endpoint's entry was removed at ``now``, in seconds.
 
--- a/verbenagrade/state/endpoint_limits.py
+++ b/verbenagrade/state/endpoint_limits.py
@@ -67,12 +67,16 @@
             return False
         return self._record(incarnation, notice)
 
-    def forget(self, endpoints: Iterable[str]) -> None:
-        """Forgets all incarnations of endpoints, by name, that have ended."""
-        ended = set(endpoints)
-        for incarnation in tuple(self.notices):
-            if incarnation.rpartition("@")[0] in ended:
-                del self.notices[incarnation]
+    def drop(self, incarnations: Iterable[str]) -> None:
+        """Forgets the notices of endpoint incarnations."""
+        for incarnation in incarnations:
+            self.notices.pop(incarnation, None)
+
+    def limited(self) -> frozenset[str]:
+        """Returns the incarnations that have a limit."""
+        return frozenset(
+            i for i, n in self.notices.items() if n.limit_per_s is not None
+        )
 
     def _record(self, incarnation: str, notice: LimitNotice) -> bool:
         changed = self.limit_of(incarnation) != notice.limit_per_s
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -78,18 +78,21 @@
 class CallProgress:
     """The progress of a call over all endpoints that it was sent to.
 
-    ``placements`` counts the endpoints chosen. ``possible_runs`` counts the
-    attempts after which the call may have run. ``successor`` is the endpoint that
-    takes over next, for which a retry was taken. ``kept_logged`` is set once it was
-    logged that the call stays at a slow endpoint. ``sent_at`` is when the present
-    attempt began, ``sent`` has its connections, and ``events_before_attempt`` counts
-    the events delivered until then. Times are in seconds, on the clock of the process.
+    ``limited_endpoints`` are the incarnations whose limits left no call for this VM
+    when an endpoint was last chosen. ``placements`` counts the endpoints chosen.
+    ``possible_runs`` counts the attempts after which the call may have run.
+    ``successor`` is the endpoint that takes over next, for which a retry was taken.
+    ``kept_logged`` is set once it was logged that the call stays at a slow endpoint.
+    ``sent_at`` is when the present attempt began, ``sent`` has its connections, and
+    ``events_before_attempt`` counts the events delivered until then. Times are in
+    seconds, on the clock of the process.
     """
 
     def __init__(self, resume_after: str) -> None:
         self.outcome = RequestOutcome()
         self.outcome.advance("reserve")
         self.placements = 0
+        self.limited_endpoints: frozenset[str] = frozenset()
         self.possible_runs = 0
         self.excluded_endpoints: set[str] = set()
         self.successor: Placement | None = None
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 
 import aiohttp
 
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.fleet_limits import FleetLimits
 from verbenagrade.coordination.gateway_fleet import GatewayFleet
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.coordination.table_feed import TableFreshness
@@ -14,7 +15,6 @@
 from verbenagrade.protocol.calls import CallFormat
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.directory import EndpointDirectory, EndpointEntry
-from verbenagrade.state.endpoint_limits import EndpointLimits
 from verbenagrade.state.placement import PlacementTable
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
@@ -78,6 +78,7 @@
         clock: Callable[[], float],
         seed: int,
         eras: StoreEras,
+        limits: FleetLimits,
     ) -> None:
         self.settings = settings
         self.call_format = call_format
@@ -88,6 +89,7 @@
         self.directory = directory
         self.clock = clock
         self.eras = eras
+        self.limits = limits
         self.random = random.Random(seed)
         self.route_index: RouteIndex | None = None
         self.configuration_freshness = TableFreshness(clock())
@@ -102,7 +104,6 @@
         self.stopping = False
         self.rejecting_calls = False
         self.background: set[asyncio.Task[None]] = set()
-        self.limits = EndpointLimits()
         self.crash_checks: dict[str, CrashCheck] = {}
 
     @property
@@ -113,11 +114,6 @@
         loaded = self.route_index is not None and self.directory_loaded
         return loaded and fleet_known and not self.stopping
 
-    def forget_endpoints(self, names: Iterable[str]) -> None:
-        """Forgets what is known of endpoint incarnations that have ended."""
-        self.placement.forget(names)
-        self.limits.forget(names)
-
     def run_in_background(self, coroutine: Coroutine[None, None, None]) -> None:
         """Runs a coroutine as a task that no caller waits for."""
         task = asyncio.create_task(coroutine)
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -28,7 +28,11 @@
     deliver_stream,
 )
 from verbenagrade.transport.gateway.handover import may_be_handed_over
-from verbenagrade.transport.gateway.limits import record_limit
+from verbenagrade.transport.gateway.limits import (
+    choose_or_wait,
+    record_limit,
+    refusal_without_endpoint,
+)
 from verbenagrade.transport.gateway.upstream import UpstreamResponse, open_upstream
 from verbenagrade.transport.sends import SentRequest
 
@@ -40,6 +44,8 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 MIN_REDIRECT_STATUS = 300
+FINAL_STATUSES = frozenset({502, 504})
+"""Statuses of the gateway's own which do not say that a call has not run."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,9 +77,10 @@
         if cause:
             log_event(Event.CALL_CONVICTED, call=call.head.call_id, cause=cause)
             return _fail_call(core, call, progress, writer, refusals.POISON_CALL)
-        entry = _choose_endpoint(core, call, progress)
+        entry = await _choose_endpoint(core, call, progress)
         if entry is None:
-            return _fail_call(core, call, progress, writer, refusals.NO_ENDPOINT)
+            refusal = refusal_without_endpoint(core, progress)
+            return _fail_call(core, call, progress, writer, refusal)
         try:
             response = await _send(core, call, progress, writer, entry)
         except SendFailedError as error:
@@ -88,15 +95,10 @@
         return ForwardResult(response, CallResult(response.status))
 
 
-def _choose_endpoint(
+async def _choose_endpoint(
     core: GatewayCore, call: Call, progress: CallProgress
 ) -> EndpointEntry | None:
-    chosen = progress.successor or core.placement.choose(
-        core.endpoints(call.service),
-        progress.excluded_endpoints,
-        call.shape,
-        core.clock(),
-    )
+    chosen = progress.successor or await choose_or_wait(core, call, progress)
     progress.successor = None
     if chosen is None:
         return None
@@ -273,7 +275,7 @@
         return ForwardResult(writer.response, result)
     if progress.outcome.state == "sent":
         progress.outcome.advance("break_off")
-        if refusal in (refusals.NO_ENDPOINT, refusals.POISON_CALL):
+        if refusal.status not in FINAL_STATUSES:
             refusal = refusals.ENDPOINT_FAILED
     else:
         progress.outcome.advance("refuse")
--- a/verbenagrade/transport/gateway/handover.py
+++ b/verbenagrade/transport/gateway/handover.py
@@ -14,6 +14,7 @@
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import accepts_connection
+from verbenagrade.transport.gateway.limits import choose_within_limits
 
 __all__ = ["hand_over", "may_be_handed_over"]
 
@@ -58,8 +59,7 @@
     if not may_be_handed_over(call, progress) or not core.has_retry(call.service, now):
         return None
     excluded = {*progress.excluded_endpoints, entry.name}
-    entries = core.endpoints(call.service)
-    successor = core.placement.choose(entries, excluded, call.shape, now)
+    successor = await choose_within_limits(core, call, excluded)
     timeout_s = min(core.settings.tuning.connect_s, call.deadline - now)
     if successor is None or not await accepts_connection(
         core, successor.endpoint, timeout_s
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -1,6 +1,7 @@
 """A gateway process: HTTP servers, followed tables, background tasks, shutdown."""
 
 import asyncio
+import random
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -9,6 +10,7 @@
 from aiohttp import web
 
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.fleet_limits import FleetLimits
 from verbenagrade.coordination.gateway_fleet import FLEET_TABLE, GatewayFleet
 from verbenagrade.coordination.gateway_updates import (
     apply_configuration,
@@ -99,22 +101,26 @@
         eras.on_change = self._enter_era
         store = adapter.store(self.store_session, settings, eras.observer())
         self.table = guard_eras(count_failures(store, self._count_failure), eras)
-        bounds = settings.bounds
+        fleet = GatewayFleet(self.table, settings.vm, incarnation, eras, self.clock)
+        directory = EndpointDirectory(
+            MISSING_ENDPOINT_HOLD_FRACTION * settings.bounds.drain_ms / MS_PER_S
+        )
         self.core = GatewayCore(
             settings=settings,
             call_format=adapter.calls,
             session=self.endpoint_session,
             allowance_manager=self._make_allowance_manager(settings, incarnation, eras),
-            fleet=GatewayFleet(self.table, settings.vm, incarnation, eras, self.clock),
+            fleet=fleet,
             placement=PlacementTable(
                 VmLocation(settings.data_centre, settings.regions), seed
             ),
-            directory=EndpointDirectory(
-                MISSING_ENDPOINT_HOLD_FRACTION * bounds.drain_ms / MS_PER_S
-            ),
+            directory=directory,
             clock=self.clock,
             seed=seed,
             eras=eras,
+            limits=FleetLimits.create(
+                self.table, fleet, directory, self.clock, random.Random(seed)
+            ),
         )
         self.runners: list[web.ServerRunner] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -178,6 +184,7 @@
         core = self.core
         core.metrics.in_flight.set({}, core.in_flight)
         core.metrics.endpoints.set({}, len(core.directory.entries))
+        core.metrics.limited_endpoints.set({}, len(core.limits.known.limited()))
         core.metrics.store_era.set({}, core.eras.number)
         settling = core.allowance_manager.settling_budgets()
         core.metrics.budgets_settling.set({}, settling)
@@ -248,7 +255,7 @@
         change = apply_endpoints(
             core.directory, changes, self.adapter.documents, self.clock()
         )
-        core.forget_endpoints(change.ended)
+        core.placement.forget(change.ended)
         core.directory_loaded = True
 
     def _record_response(self, response: TableResponse) -> None:
@@ -270,11 +277,15 @@
         """Moves the budgets on after the store came back from an older copy."""
         self.core.metrics.era_changes.inc({})
         self.core.allowance_manager.enter_era()
+        self.core.limits.permits.enter_era()
 
     def _apply_fleet(self, changes: Changes) -> None:
         """Applies changes that other gateways wrote to the fleet table."""
-        self.core.fleet.apply(changes)
-        self.core.allowance_manager.vm_count = len(self.core.fleet.vms)
+        core = self.core
+        core.fleet.apply(changes)
+        vm_count = len(core.fleet.vms)
+        core.limits.apply(changes, vm_count)
+        core.allowance_manager.vm_count = vm_count
 
     def _start_task(self, coroutine: Awaitable[None]) -> None:
         task = asyncio.ensure_future(coroutine)
--- a/verbenagrade/transport/gateway/refusals.py
+++ b/verbenagrade/transport/gateway/refusals.py
@@ -14,6 +14,7 @@
     "BODY_TOO_LARGE",
     "BUDGET_EXHAUSTED",
     "BUDGET_UNAVAILABLE",
+    "ENDPOINTS_LIMITED",
     "ENDPOINT_FAILED",
     "INVALID_HEADER",
     "NO_CONFIGURATION",
@@ -61,6 +62,9 @@
     503, "configuration not known yet; come back", LONG_RETRY_AFTER_S
 )
 NO_ENDPOINT = Refusal(503, "no endpoint took the call; come back", LONG_RETRY_AFTER_S)
+ENDPOINTS_LIMITED = Refusal(
+    503, "all endpoints limit their calls; come back", LONG_RETRY_AFTER_S
+)
 BUDGET_UNAVAILABLE = Refusal(
     503, "the budget can't be reached here; come back", SHORT_RETRY_AFTER_S
 )
--- a/verbenagrade/transport/gateway/upkeep.py
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -18,7 +18,7 @@
     while True:
         await asyncio.sleep(EXPIRY_INTERVAL_S)
         change = core.directory.expire(core.clock())
-        core.forget_endpoints(change.ended)
+        core.placement.forget(change.ended)
         for name in change.ended:
             log_event(Event.ENDPOINT_GONE, endpoint=name)
 
@@ -30,6 +30,7 @@
         try:
             await core.fleet.announce()
             await core.fleet.write_reports()
+            await core.limits.write()
         except PlatformError as error:
             log_event(Event.PLATFORM_AWAY, table=FLEET_TABLE, reason=str(error))
             continue
