Don't put the limit in a misdirected call's response down to its endpoint

Addresses of endpoints are used again; the one that is there now answers 421, and what it says of its limit isn't about the endpoint that was meant. Noticed when reading the change; the test failed before (the limit was recorded).

--- a/verbenagrade/platform/tests/test_endpoint_limits.py
+++ b/verbenagrade/platform/tests/test_endpoint_limits.py
@@ -4,7 +4,7 @@
 import itertools
 
 from verbenagrade.platform.tests.conftest import configuration_document
-from verbenagrade.platform.tests.endpoint_standin import delayed, plain
+from verbenagrade.platform.tests.endpoint_standin import delayed, plain, refusal
 
 LIMIT_PER_S = 2.0
 WINDOW_S = 4.0
@@ -100,3 +100,36 @@
     last_window = asyncio.get_running_loop().time() - WINDOW_S
     used = limited.count(last_window, last_window + WINDOW_S)
     assert used >= MIN_USED_FRACTION * LIMIT_PER_S * WINDOW_S
+
+
+# Guards against a limit that is put down to the endpoint which had the address before.
+async def test_limit_in_the_response_to_a_misdirected_call_is_not_the_endpoints(
+    testbed,
+):
+    refuse = plain(status="421 Misdirected Request", Not_Executed=1, Server_Limit=1.0)
+    await testbed.add_endpoint(refuse)
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    status, _, _ = await testbed.call("/safe/x")
+    assert status == 503
+    assert not testbed.core.limits.known.limited()
+
+
+async def test_refusal_without_a_limit_does_not_end_it(testbed):
+    named, refuse = plain(Server_Limit=9.0), refusal()
+    await testbed.add_endpoint(named, refuse)
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    await testbed.call("/safe/x")
+    await testbed.call("/safe/x")
+    assert len(testbed.core.limits.known.limited()) == 1
+
+
+async def test_limit_that_cannot_be_read_is_ignored(testbed):
+    texts = ("", "fast", "nan", "-1", "inf")
+    await testbed.add_endpoint(*(plain(Server_Limit=text) for text in texts))
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    for _ in texts:
+        await testbed.call("/safe/x")
+    assert not testbed.core.limits.known.limited()
--- a/verbenagrade/transport/gateway/limits.py
+++ b/verbenagrade/transport/gateway/limits.py
@@ -34,6 +34,7 @@
 MAX_WAIT_FRACTION = 0.25
 """The longest wait as a fraction of the time left for the call."""
 
+HTTP_MISDIRECTED = 421
 MIN_POLL_S = 0.02
 RETRY_AFTER_BOUNDS_S = (0.2, 2.0)
 """Smallest and largest delay after which a refused call is asked to come back, in
@@ -132,9 +133,12 @@
 ) -> None:
     """Records what a response says of the limit of its endpoint.
 
-    A response without a signature, or one which states that the call did not run, may
-    come from another endpoint at the same address, so it ends no limit.
+    A misdirected call got its response from another endpoint at the same address. One
+    that did not run, or whose response has no signature, does not tell that a limit has
+    ended.
     """
+    if head.status == HTTP_MISDIRECTED:
+        return
     if head.limit_per_s is None and (head.not_run or not head.signed):
         return
     now = core.clock()
