Add a soak of an endpoint that names a limit, beside faults

Three real gateways, with the faults of the soak at first: kills, stops, pauses, reloads, a store that fails or is cut off. Afterwards the limit of 4 calls a second must be kept in each 4 s (29 calls at most), half of it used, and the end noticed.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,7 +5,7 @@
 
 import typer
 
-from soak.run import run_crash_seed, run_seed
+from soak.run import run_crash_seed, run_limit_seed, run_seed
 
 EXIT_VIOLATIONS = 1
 
@@ -23,11 +23,16 @@
     crashes: Annotated[
         bool, typer.Option(help="Send calls that crash endpoints by a part instead.")
     ] = False,
+    limits: Annotated[
+        bool, typer.Option(help="Let an endpoint name a limit on calls instead.")
+    ] = False,
 ) -> None:
     """Runs the seeds one after another and prints each violated invariant."""
     failed = 0
     for seed in range(first, first + seeds):
-        if crashes:
+        if limits:
+            report = asyncio.run(run_limit_seed(seed, seconds))
+        elif crashes:
             report = asyncio.run(run_crash_seed(seed, seconds))
         else:
             report = asyncio.run(run_seed(seed, seconds, drills, faults))
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -10,8 +12,13 @@
 from soak.crashes import play_crashes
 from soak.environment import SoakEnvironment
 from soak.faults import inject_drills, inject_faults
+from soak.limits import play_limits
 
-__all__ = ["SoakReport", "run_crash_seed", "run_seed"]
+__all__ = ["SoakReport", "run_crash_seed", "run_limit_seed", "run_seed"]
+
+Play = Callable[
+    [SoakEnvironment, int, float], Awaitable[tuple[Counter[str], int, list[Violation]]]
+]
 
 CLIENTS = 10
 FAULT_INJECTORS = 2
@@ -91,11 +98,23 @@
     ``status_counts`` are those of the sound calls after the faults, and ``run_count``
     is the number of calls with the part at fault that reached endpoints.
     """
+    return await _run_play(play_crashes, seed, seconds)
+
+
+async def run_limit_seed(seed: int, seconds: float) -> SoakReport:
+    """Runs gateways, an endpoint that names a limit, and faults for ``seconds``.
+
+    ``run_count`` is the number of calls that reached the endpoint.
+    """
+    return await _run_play(play_limits, seed, seconds)
+
+
+async def _run_play(play: Play, seed: int, seconds: float) -> SoakReport:
     environment = SoakEnvironment(2 * seed)
     environment.store.era = 1
     await environment.start()
     try:
-        statuses, received, violations = await play_crashes(environment, seed, seconds)
+        statuses, received, violations = await play(environment, seed, seconds)
     finally:
         await environment.stop()
     return SoakReport(
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak.run import run_crash_seed, run_seed
+from soak.run import run_crash_seed, run_limit_seed, run_seed
 
 SECONDS = 8.0
 SEEDS = (1, 2)
@@ -31,3 +31,10 @@
     report = await run_crash_seed(1, SECONDS)
     assert report.violations == ()
     assert report.status_counts.get("200", 0) > 50
+
+
+# An endpoint names a limit, beside other faults.
+async def test_limit_of_an_endpoint_is_kept_used_and_ended():
+    report = await run_limit_seed(1, SECONDS)
+    assert report.violations == ()
+    assert report.status_counts.get("200", 0) > 200
