--- a/benchmarks/engines/engine.py
+++ b/benchmarks/engines/engine.py
@@ -47,7 +47,7 @@
         self.priority = priority
         self.prefill_tokens_left = self.tokens
         self.generated_tokens = 0
-        self.first_token_at: float | None = None
+        self.first_event_at: float | None = None
         self.last_event_at = 0.0
         self.max_event_gap_s = 0.0
 
@@ -102,10 +102,7 @@
             self.running.append(call)
 
     def _look_up_prefix(self, call: EngineCall) -> None:
-        """Skips the prefill of a cached prefix and caches all parts of the prompt.
-
-        The least recently used parts are evicted beyond the cache's capacity.
-        """
+        """Skips the prefill of a cached prefix, whose parts count as used again."""
         hit_tokens = 0
         for part in call.prompt:
             if part.name not in self.cached_parts:
@@ -115,6 +112,15 @@
         self.cache_hit_tokens += min(hit_tokens, shared)
         self.cache_miss_tokens += shared - min(hit_tokens, shared)
         call.prefill_tokens_left = max(1, call.tokens - hit_tokens)
+        for part in call.prompt:
+            if part.name in self.cached_parts:
+                self.cached_parts.move_to_end(part.name)
+
+    def _cache_prompt(self, call: EngineCall) -> None:
+        """Caches all parts of a prompt whose prefill has ended.
+
+        The least recently used parts are evicted beyond the cache's capacity.
+        """
         for part in call.prompt:
             self.cached_parts.pop(part.name, None)
             self.cached_parts[part.name] = part.tokens
@@ -128,6 +134,8 @@
         )
         prefilled_tokens = call.tokens - call.prefill_tokens_left
         call.prefill_tokens_left -= chunk_tokens
+        if not call.prefill_tokens_left:
+            self._cache_prompt(call)
         million_pairs = chunk_tokens * (prefilled_tokens + chunk_tokens / 2) / 1e6
         prefill_ms = chunk_tokens / self.parameters.prefill_tokens_per_ms
         return (
@@ -137,10 +145,11 @@
     def _decode_token(self, call: EngineCall, now: float) -> bool:
         """Generates a token; returns whether the call is finished."""
         call.generated_tokens += 1
-        if call.first_token_at is None:
-            call.first_token_at = call.last_event_at = now
-        elif call.generated_tokens % self.parameters.tokens_per_event == 0:
-            call.max_event_gap_s = max(call.max_event_gap_s, now - call.last_event_at)
+        if call.generated_tokens % self.parameters.tokens_per_event == 0:
+            if call.first_event_at is None:
+                call.first_event_at = call.last_event_at = now
+            gap_s = now - call.last_event_at
+            call.max_event_gap_s = max(call.max_event_gap_s, gap_s)
             call.last_event_at = now
         if call.generated_tokens < call.events * self.parameters.tokens_per_event:
             return False
--- a/benchmarks/engines/simulation.py
+++ b/benchmarks/engines/simulation.py
@@ -136,11 +136,11 @@
         if not engine.queue and not engine.running:
             self.stepping_engines.discard(engine.name)
             return
-        without_token = [call for call in engine.running if call.first_token_at is None]
+        without_event = [call for call in engine.running if call.first_event_at is None]
         step_end, finished = engine.step(now)
         self._schedule(step_end, "step", engine)
-        for call in (*without_token, *finished):
-            if call.first_token_at == step_end:
+        for call in (*without_event, *finished):
+            if call.first_event_at == step_end:
                 sent = self.sent_calls[call.call_id]
                 placer = self.placers[sent.arrival.vm]
                 placer.answered(sent.entry, call.call_id, sent.shape, step_end)
@@ -157,7 +157,7 @@
     simulation = Simulation(fleet, pattern, policy, seed)
     simulation.run()
     first_event_times_s = sorted(
-        call.engine_call.first_token_at - call.arrival.at
+        call.engine_call.first_event_at - call.arrival.at
         for call in simulation.finished_calls
     )
     max_event_gaps_s = sorted(
@@ -184,7 +184,7 @@
 
 def _in_time(sent: SentCall) -> bool:
     kind = sent.arrival.kind
-    first_event_s = sent.engine_call.first_token_at - sent.arrival.at
+    first_event_s = sent.engine_call.first_event_at - sent.arrival.at
     return (
         first_event_s <= kind.first_event_target_s
         and sent.engine_call.max_event_gap_s <= kind.event_gap_target_s
