Test that a read which crashes endpoints stops at all gateways

Three gateways on one store: the repeats reach endpoints three times and no more than three times later, whichever gateway they come to.

--- a/verbenagrade/platform/tests/test_crashing_reads.py
+++ b/verbenagrade/platform/tests/test_crashing_reads.py
@@ -68,6 +68,21 @@
     assert status == 200
 
 
+# Guards against repeats that reach endpoints through gateways which saw no crash.
+async def test_repeated_read_that_crashes_endpoints_stops_at_all_gateways(testbed):
+    endpoints = CrashingEndpoints(testbed)
+    await endpoints.add(3)
+    await testbed.start(configuration_document())
+    await testbed.wait_until_ready()
+    await testbed.start_another()
+    await testbed.start_another()
+    for number in range(9):
+        gateway = [testbed.gateway, *testbed.others][number % 3]
+        await testbed.call("/safe/crash", method="GET", body=b"", gateway=gateway)
+        await asyncio.sleep(2 * RETURN_S)
+    assert len(endpoints.received) <= MIN_POISON_CRASHES + MAX_SENT_LATER
+
+
 # Guards against the refusal of a call as not run after endpoints have run it, and
 # against more runs than its route allows.
 async def test_read_that_crashed_endpoints_is_not_refused_as_not_run(testbed):
