Share the stand-ins of crashing endpoints between their tests

The endpoints that crash by a part of a prompt and by a read were the same code twice. The checks stay as they were. Limits are written by the stand-in of the endpoint, so that the soak doesn't know the header.

--- a/soak/limits.py
+++ b/soak/limits.py
@@ -49,8 +49,7 @@
     async def handle(self, request, writer) -> None:
         """Responds at once, with the limit if there is one."""
         self.arrivals.append(asyncio.get_running_loop().time())
-        headers = {} if self.limit_per_s is None else {"Server_Limit": self.limit_per_s}
-        await standin.plain(**headers)(request, writer)
+        await standin.plain(limit_per_s=self.limit_per_s)(request, writer)
 
     def count(self, start: float, end: float) -> int:
         """Returns the number of calls that arrived in a time, in seconds."""
--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -102,8 +102,10 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def plain(body=b"done", status="200 OK", **headers):
-    """Sends a complete response, with further headers."""
+def plain(body=b"done", status="200 OK", limit_per_s=None, **headers):
+    """Sends a complete response with further headers, and a limit if there is one."""
+    if limit_per_s is not None:
+        headers["Server_Limit"] = limit_per_s
 
     async def handle(request, writer):
         head = _response_head(request, status, Content_Length=len(body), **headers)
--- a/verbenagrade/platform/tests/test_crashing_reads.py
+++ b/verbenagrade/platform/tests/test_crashing_reads.py
@@ -5,58 +5,26 @@
 import pytest
 
 from verbenagrade.platform.tests.conftest import configuration_document, route
+from verbenagrade.platform.tests.crashing_endpoints import (
+    RETURN_S,
+    CrashingEndpoints,
+)
 from verbenagrade.platform.tests.endpoint_standin import plain, reset
 from verbenagrade.state.poison_calls import MIN_POISON_CRASHES
 
-RETURN_S = 0.3
 MAX_SENT_LATER = 3
 MAX_RUNS = 2
 
 
-class CrashingEndpoints:
-    """Endpoints that crash when they run a call whose path contains ``crash``.
-
-    A crash resets the connection and closes the port. Some time later another
-    incarnation is there, with another port. ``received`` has the id of each call that
-    reached an endpoint.
-    """
-
-    def __init__(self, testbed) -> None:
-        self.testbed = testbed
-        self.received: list[str] = []
-        self.returns: set[asyncio.Task] = set()
-
-    async def add(self, count: int) -> None:
-        for _ in range(count):
-            endpoint = await self.testbed.add_endpoint()
-            endpoint.handlers = [self.handler(endpoint)]
-
-    def handler(self, endpoint):
-        respond, crash = plain(), reset()
-
-        async def handle(request, writer):
-            if "crash" not in request.path:
-                await respond(request, writer)
-                return
-            self.received.append(request.headers["request-id"])
-            endpoint.server.close()
-            await crash(request, writer)
-            self.returns.add(asyncio.create_task(self.bring_back(endpoint)))
-
-        return handle
-
-    async def bring_back(self, endpoint) -> None:
-        await asyncio.sleep(RETURN_S)
-        await endpoint.start()
-        born = 1000 + len(self.received)
-        entry = endpoint.entry("pool", born=born)
-        self.testbed.store.put("servers", endpoint.name, entry)
+def crashing_reads(testbed) -> CrashingEndpoints:
+    """Returns endpoints that crash when they run a call whose path has ``crash``."""
+    return CrashingEndpoints(testbed, lambda r: "crash" in r.path, plain())
 
 
 # Guards against a read that crashes every endpoint and is never recognised, because
 # the closed connection is taken for one that could not be opened.
 async def test_repeated_read_that_crashes_endpoints_stops_after_three_crashes(testbed):
-    endpoints = CrashingEndpoints(testbed)
+    endpoints = crashing_reads(testbed)
     await endpoints.add(3)
     await testbed.start(configuration_document())
     await testbed.wait_until_ready()
@@ -70,7 +38,7 @@
 
 # Guards against repeats that reach endpoints through gateways which saw no crash.
 async def test_repeated_read_that_crashes_endpoints_stops_at_all_gateways(testbed):
-    endpoints = CrashingEndpoints(testbed)
+    endpoints = crashing_reads(testbed)
     await endpoints.add(3)
     await testbed.start(configuration_document())
     await testbed.wait_until_ready()
@@ -86,7 +54,7 @@
 # Guards against the refusal of a call as not run after endpoints have run it, and
 # against more runs than its route allows.
 async def test_read_that_crashed_endpoints_is_not_refused_as_not_run(testbed):
-    endpoints = CrashingEndpoints(testbed)
+    endpoints = crashing_reads(testbed)
     await endpoints.add(5)
     await testbed.start(configuration_document())
     await testbed.wait_until_ready()
--- a/verbenagrade/platform/tests/test_endpoint_limits.py
+++ b/verbenagrade/platform/tests/test_endpoint_limits.py
@@ -27,8 +27,7 @@
 
     async def handle(self, request, writer) -> None:
         self.arrivals.append(asyncio.get_running_loop().time())
-        headers = {} if self.limit is None else {"Server_Limit": self.limit}
-        await plain(**headers)(request, writer)
+        await plain(limit_per_s=self.limit)(request, writer)
 
     def most_in_window(self, since: float) -> int:
         """Returns the largest number of calls in a window that ends after a time."""
@@ -106,7 +105,7 @@
 async def test_limit_in_the_response_to_a_misdirected_call_is_not_the_endpoints(
     testbed,
 ):
-    refuse = plain(status="421 Misdirected Request", Not_Executed=1, Server_Limit=1.0)
+    refuse = plain(status="421 Misdirected Request", Not_Executed=1, limit_per_s=1.0)
     await testbed.add_endpoint(refuse)
     await testbed.start(configuration_document())
     await testbed.wait_until_ready()
@@ -116,7 +115,7 @@
 
 
 async def test_refusal_without_a_limit_does_not_end_it(testbed):
-    named, refuse = plain(Server_Limit=9.0), refusal()
+    named, refuse = plain(limit_per_s=9.0), refusal()
     await testbed.add_endpoint(named, refuse)
     await testbed.start(configuration_document())
     await testbed.wait_until_ready()
@@ -127,7 +126,7 @@
 
 async def test_limit_that_cannot_be_read_is_ignored(testbed):
     texts = ("", "fast", "nan", "-1", "inf")
-    await testbed.add_endpoint(*(plain(Server_Limit=text) for text in texts))
+    await testbed.add_endpoint(*(plain(limit_per_s=text) for text in texts))
     await testbed.start(configuration_document())
     await testbed.wait_until_ready()
     for _ in texts:
