--- a/verbenagrade/transport/gateway/limits.py
+++ b/verbenagrade/transport/gateway/limits.py
@@ -29,8 +29,8 @@
 trips to the store between regions."""
 
 MAX_REQUESTS_PER_CHOICE = 2
-"""Largest number of endpoints whose permits are requested for one choice, which uses one
-of them."""
+"""Largest number of endpoints whose permits are requested for one choice, which uses
+one of them."""
 
 MAX_WAIT_S = 0.5
 """How long a call waits for a permit if all endpoints are limited, in seconds."""
