Send calls at lost engines again in the engine benchmark

Calls of kinds that may run twice are now sent to another engine when their first or next event is overdue.

--- a/benchmarks/engines/load.py
+++ b/benchmarks/engines/load.py
@@ -24,7 +24,8 @@
     part of its own, whose tokens are lognormally distributed with a mean and the
     sigma of their logarithm. ``events`` is the mean number of events. A call earns
     its ``worth`` if the first event and each gap between events meet the targets, in
-    seconds. Lower ``priority`` values are admitted first.
+    seconds. Lower ``priority`` values are admitted first. ``max_runs`` is how often it
+    may run.
     """
 
     name: str
@@ -38,12 +39,13 @@
     event_gap_target_s: float
     worth: float
     priority: int
+    max_runs: int
 
 
 KINDS = (
-    Kind("draft", 0.21, (512, 4870), (3, 636), 6610, 1.4, 42, 1.045, 0.5, 5.1, 1),
-    Kind("reply", 0.41, (119, 79), (16, 810), 628, 1.0, 32, 0.519, 0.5, 1.9, 0),
-    Kind("tag", 0.38, (341, 227), (16, 1703), 1800, 1.3, 3, 0.522, 0.5, 0.46, 2),
+    Kind("draft", 0.21, (512, 4870), (3, 636), 6610, 1.4, 42, 1.045, 0.5, 5.1, 1, 2),
+    Kind("reply", 0.41, (119, 79), (16, 810), 628, 1.0, 32, 0.519, 0.5, 1.9, 0, 1),
+    Kind("tag", 0.38, (341, 227), (16, 1703), 1800, 1.3, 3, 0.522, 0.5, 0.46, 2, 2),
 )
 
 
--- a/benchmarks/engines/policies.py
+++ b/benchmarks/engines/policies.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -13,7 +13,7 @@
 
 __all__ = ["POLICIES", "Placer", "Policy"]
 
-ChooseEngine = Callable[[CallShape, float], EndpointEntry]
+ChooseEngine = Callable[[CallShape, float, Collection[str]], EndpointEntry]
 
 MAX_LOAD_FACTOR = 1.25
 """Most calls of this VM at an engine that it prefers for a prompt, as a multiple of the
@@ -43,9 +43,11 @@
     """Returns the placement of the product's gateway."""
     table = PlacementTable(location, seed)
 
-    def choose(shape: CallShape, now: float) -> EndpointEntry:
+    def choose(
+        shape: CallShape, now: float, excluded: Collection[str]
+    ) -> EndpointEntry:
         """Returns the engine with the lowest cost."""
-        return table.choose(entries, (), shape, now).endpoint
+        return table.choose(entries, excluded, shape, now).endpoint
 
     return Placer(choose, table.sent, table.answered, table.ended)
 
@@ -60,9 +62,12 @@
         calls: dict[str, int] = defaultdict(int)
         rng = random.Random(seed)
 
-        def choose(shape: CallShape, _now: float) -> EndpointEntry:
+        def choose(
+            shape: CallShape, _now: float, excluded: Collection[str]
+        ) -> EndpointEntry:
             """Returns the engine that ``pick`` selects."""
-            return pick(entries, calls, shape, rng)
+            allowed = [entry for entry in entries if entry.name not in excluded]
+            return pick(allowed, calls, shape, rng)
 
         def sent(entry: EndpointEntry, *_details: object) -> None:
             """Increments the call count of an engine."""
--- a/benchmarks/engines/simulation.py
+++ b/benchmarks/engines/simulation.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from benchmarks.engines.engine import Engine, EngineCall, EngineParameters
@@ -55,6 +56,7 @@
     engine_call: EngineCall
     entry: EndpointEntry
     shape: CallShape
+    runs: int
 
 
 class Simulation:
@@ -102,36 +104,80 @@
         """
         for arrival in self.arrivals:
             self._schedule(arrival.at, "call", arrival)
+        self._schedule(ENGINE_LOSS_AT_S, "loss", None)
         while self.events:
             now, _, event, detail = heapq.heappop(self.events)
             if now > 2 * self.fleet.duration_s:
                 break
             if event == "call":
-                self._send_call(detail, now)
+                self._start_call(detail, now)
+            elif event == "loss":
+                self._lose_engines(now)
+            elif event == "overdue":
+                self._send_again(detail, now)
             else:
                 self._step_engine(detail, now)
 
     def _schedule(self, when: float, event: str, detail: object) -> None:
         heapq.heappush(self.events, (when, next(self.event_numbers), event, detail))
 
-    def _send_call(self, arrival: Arrival, now: float) -> None:
-        placer = self.placers[arrival.vm]
-        shape = CallShape(arrival.prompt, arrival.tokens, arrival.long_prompt)
-        entry = placer.choose(shape, now)
+    def _start_call(self, arrival: Arrival, now: float) -> None:
         call_id = f"c{len(self.sent_calls)}"
         engine_call = EngineCall(
             call_id, arrival.prompt, arrival.events, arrival.kind.priority
         )
-        self.sent_calls[call_id] = SentCall(arrival, engine_call, entry, shape)
-        placer.sent(entry, call_id, shape, now)
+        self._send_call(arrival, engine_call, (), 1, now)
+
+    def _send_call(
+        self,
+        arrival: Arrival,
+        engine_call: EngineCall,
+        excluded: Collection[str],
+        runs: int,
+        now: float,
+    ) -> None:
+        placer = self.placers[arrival.vm]
+        shape = CallShape(arrival.prompt, arrival.tokens, arrival.long_prompt)
+        entry = placer.choose(shape, now, excluded)
+        sent = SentCall(arrival, engine_call, entry, shape, runs)
+        self.sent_calls[engine_call.call_id] = sent
+        placer.sent(entry, engine_call.call_id, shape, now)
+        if self._is_lost(entry.name, now):
+            self._schedule(now + arrival.kind.first_event_target_s, "overdue", sent)
+            return
         engine = self.engines[entry.name]
         engine.submit(engine_call)
         if entry.name not in self.stepping_engines:
             self.stepping_engines.add(entry.name)
             self._schedule(now, "step", engine)
 
+    def _is_lost(self, engine: str, now: float) -> bool:
+        return engine in self.lost_engines and now >= ENGINE_LOSS_AT_S
+
+    def _lose_engines(self, now: float) -> None:
+        """Lets the calls at lost engines wait for their next events in vain."""
+        for name in sorted(self.lost_engines):
+            engine = self.engines[name]
+            for call in (*engine.running, *engine.queue):
+                sent = self.sent_calls[call.call_id]
+                kind = sent.arrival.kind
+                wait_s = (
+                    kind.first_event_target_s
+                    if call.first_event_at is None
+                    else kind.event_gap_target_s
+                )
+                self._schedule(now + wait_s, "overdue", sent)
+
+    def _send_again(self, sent: SentCall, now: float) -> None:
+        """Ends an attempt at a lost engine; another engine goes on if it may."""
+        arrival = sent.arrival
+        self.placers[arrival.vm].ended(sent.entry, sent.engine_call.call_id, True, now)
+        if sent.runs < arrival.kind.max_runs:
+            excluded = (sent.entry.name,)
+            self._send_call(arrival, sent.engine_call, excluded, sent.runs + 1, now)
+
     def _step_engine(self, engine: Engine, now: float) -> None:
-        if engine.name in self.lost_engines and now >= ENGINE_LOSS_AT_S:
+        if self._is_lost(engine.name, now):
             return
         if not engine.queue and not engine.running:
             self.stepping_engines.discard(engine.name)
