--- a/review/common/case.py
+++ b/review/common/case.py
@@ -17,7 +17,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 """Whether the case has its disruption."""
 
-GATEWAYS = 3
+GATEWAYS = ("front-1", "front-2", "front-3")
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -58,7 +58,8 @@
     await store.start()
     store.put("op", "config", configuration)
     replicas = make_replicas(store, record)
-    fleet = Fleet(GATEWAYS, store.address, record)
+    addresses = {name: await store.open_port() for name in GATEWAYS}
+    fleet = Fleet(GATEWAYS, addresses, record)
     try:
         for replica in replicas:
             if not replica.starts_later:
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -80,17 +80,18 @@
 class Fleet:
     """The gateways of a small deployment in one zone, each at its own address.
 
-    ``processes`` maps the name of each machine to its process.
+    ``processes`` maps the name of each machine to its process, ``store_addresses`` the
+    names of machines to addresses of the store.
     """
 
-    def __init__(self, count, store_address, record, zone="muscat-a"):
+    def __init__(self, names, store_addresses, record, zone="muscat-a"):
         self.record = record
-        self.store_address = store_address
+        self.store_addresses = store_addresses
         self.zone = zone
         self.folder = Path(tempfile.mkdtemp(prefix="verbenagrade-review-"))
         number = os.getpid()
         prefix = f"127.{64 + number // 250 % 64}.{number % 250}"
-        self.ips = {f"front-{n}": f"{prefix}.{n}" for n in range(1, count + 1)}
+        self.ips = {name: f"{prefix}.{n}" for n, name in enumerate(names, 1)}
         self.port = find_ports(self.ips.values())
         self.processes = {}
         self.in_rotation = set()
@@ -180,7 +181,7 @@
             },
             "ip": ip,
             "internal_ports": [self.port + 2, self.port + 1 + INTERNAL_PORTS],
-            "platform": {"address": self.store_address, "writes_per_s": 800},
+            "platform": {"address": self.store_addresses[name], "writes_per_s": 800},
             "bounds": BOUNDS,
             "limits": {"memory_mb": 150},
         }
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -38,6 +38,7 @@
         self.work_s = 0.02
         self.events, self.event_s = 6, 0.03
         self.server = None
+        self.writers, self.work = set(), set()
         self.heartbeat = None
         self.address = ""
 
@@ -53,6 +54,15 @@
             self.heartbeat.cancel()
             self.server.close()
 
+    def leave(self):
+        """Exits, after which the entry is removed; breaks off what still runs."""
+        self.stop()
+        for writer in tuple(self.writers):
+            writer.close()
+        for work in tuple(self.work):
+            work.cancel()
+        self.store.remove("servers", self.name)
+
     def register(self):
         """Writes the entry, unless the store is away."""
         if self.store.away:
@@ -80,12 +90,16 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             request = await read_request(reader)
             work = asyncio.create_task(self._answer(request, writer))
+            self.writers.add(writer)
+            self.work.add(work)
             gone = asyncio.create_task(reader.read(1))
             await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
             work.cancel()
             gone.cancel()
             with contextlib.suppress(asyncio.CancelledError, OSError):
                 await work
+            self.work.discard(work)
+        self.writers.discard(writer)
         writer.close()
 
     async def _answer(self, request, writer):
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -24,7 +24,8 @@
 class Store:
     """A linearizable store; ``era`` is told in all answers.
 
-    While ``away`` is set, every call is answered 503 and does nothing. ``copies`` are
+    While ``away`` is set, every call is answered 503 and does nothing. So is a call at
+    a port in ``closed_ports``; each machine can have a port of its own. ``copies`` are
     older states, the newest last, with the time at which each was taken.
     """
 
@@ -34,6 +35,7 @@
         self.version = 0
         self.era = 1
         self.away = False
+        self.closed_ports = set()
         self.changed = asyncio.Event()
         self.copies = deque(maxlen=COPIES)
         self.runner = None
@@ -50,10 +52,23 @@
             app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
         )
         await self.runner.setup()
+        self.address = await self.open_port()
+        self.copier = asyncio.create_task(self._copy())
+
+    async def open_port(self):
+        """Listens on one more port; returns the address."""
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await site.start()
-        self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
-        self.copier = asyncio.create_task(self._copy())
+        return f"127.0.0.1:{self.runner.addresses[-1][1]}"
+
+    def turn_away(self, address):
+        """Answers calls at an address 503; those that wait there, too."""
+        self.closed_ports.add(int(address.rpartition(":")[2]))
+        self._notify()
+
+    def serve_again(self, address):
+        """Answers calls at an address again."""
+        self.closed_ports.discard(int(address.rpartition(":")[2]))
 
     async def stop(self):
         """Ends the store."""
@@ -131,8 +146,10 @@
 
     @web.middleware
     async def _answer(self, request, handler):
-        era = self.era
-        response = None if self.away else await handler(request)
+        era, port = self.era, request.transport.get_extra_info("sockname")[1]
+        request["port"] = port
+        turned_away = self.away or port in self.closed_ports
+        response = None if turned_away else await handler(request)
         if response is None or self.away or era != self.era:
             response = web.Response(status=HTTP_UNAVAILABLE)
         response.headers["Store-Era"] = str(self.era)
@@ -188,11 +205,17 @@
         era = self.era
         try:
             async with asyncio.timeout(int(request.query["wait_ms"]) / 1000):
-                while not self.away and not self._since(table, after):
+                while not self._ends_wait(request, era, table, after):
                     await self.changed.wait()
         except TimeoutError:
             pass
-        return None if self.away or era != self.era else self._changes(table, after)
+        if request["port"] in self.closed_ports or self.away or era != self.era:
+            return None
+        return self._changes(table, after)
+
+    def _ends_wait(self, request, era, table, after):
+        gone = self.away or era != self.era or request["port"] in self.closed_ports
+        return gone or bool(self._since(table, after))
 
     def _changes(self, table, after):
         return self._result(self._since(table, after))
