--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 LOSING_SHARE, LOST_SHARE, LOSING_S = 0.6, 0.3, 6.0
 HOT_SHARE, RECORDS = 0.28, 139
 CALLERS, PAUSE_S = 12, 0.2
-TROUBLE_AT_S, LENGTH_S = 4.0, 40.0
+TROUBLE_AT_S, LENGTH_S = (4.0, 12.0, 20.0, 28.0), 60.0
 ALLOWED, ALLOWED_SHARE = 5, 1 / 500
 
 
@@ -49,25 +49,32 @@
         await asyncio.sleep(rng.uniform(0.5, 1.5) * PAUSE_S)
 
 
+async def sleep_until(at: float) -> None:
+    """Sleeps until a time of the event loop."""
+    await asyncio.sleep(max(0.0, at - asyncio.get_running_loop().time()))
+
+
 async def play(setting: Setting) -> bool:
     """Lets replicas lose answers; returns whether too many requests are denied."""
     rng, record, counts = random.Random(1), setting.record, Counter()
-    losing = setting.replicas[: int(LOSING_SHARE * REPLICAS)]
+    begun_at = asyncio.get_running_loop().time()
+    losing_count = int(LOSING_SHARE * REPLICAS)
     async with session() as client:
         tasks = [
             asyncio.create_task(send_reads(client, setting, rng, counts))
             for _ in range(CALLERS)
         ]
-        await asyncio.sleep(TROUBLE_AT_S)
-        if TROUBLE:
+        for at_s in TROUBLE_AT_S:
+            await sleep_until(begun_at + at_s)
+            losing = rng.sample(setting.replicas, losing_count if TROUBLE else 0)
             for replica in losing:
                 replica.loses_answer = lambda _request: rng.random() < LOST_SHARE
-            record.write("replicas lose answers", replicas=len(losing))
-        await asyncio.sleep(LOSING_S)
-        for replica in losing:
-            replica.loses_answer = lambda _request: False
-        record.write("replicas lose no more answers")
-        await asyncio.sleep(LENGTH_S - TROUBLE_AT_S - LOSING_S)
+                record.write("loses answers", replica=replica.name)
+            await asyncio.sleep(LOSING_S)
+            for replica in losing:
+                replica.loses_answer = lambda _request: False
+                record.write("loses no answers", replica=replica.name)
+        await sleep_until(begun_at + LENGTH_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
