--- a/review/common/consumption.py
+++ b/review/common/consumption.py
@@ -14,7 +14,7 @@
 __all__ = ["Consumption", "StreamLoad", "use_up"]
 
 PAUSE_S = 0.05
-END_AFTER_REFUSALS_S = 6.0
+END_AFTER_REFUSALS_S = 10.0
 """The tenant has used up its tokens if nothing was served for so long."""
 
 LONGEST_S = 90.0
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -129,6 +129,19 @@
         self.processes[name].wait()
         self.record.write("machine killed", name=name)
 
+    def terminate(self, name):
+        """Stops a machine as planned: SIGTERM, which leaves it the grace period."""
+        self.processes[name].send_signal(signal.SIGTERM)
+        self.record.write("machine stopped", name=name)
+
+    async def exited(self, name):
+        """Waits until the process of a machine has ended."""
+        process = self.processes[name]
+        if not await wait_until(lambda: process.poll() is not None, BOUNDS["grace_s"]):
+            process.kill()
+            process.wait()
+        self.record.write("machine ended", name=name)
+
     def choose(self, rng):
         """Returns a machine that the platform may send a new channel to."""
         return rng.choice(sorted(self.in_rotation) or sorted(self.ips))
