--- a/review/common/consumption.py
+++ b/review/common/consumption.py
@@ -17,7 +17,7 @@
 END_AFTER_REFUSALS_S = 10.0
 """The tenant has used up its tokens if nothing was served for so long."""
 
-LONGEST_S = 90.0
+LONGEST_S = 80.0
 
 
 @dataclass(frozen=True)
