--- a/review/common/callers.py
+++ b/review/common/callers.py
@@ -6,7 +6,6 @@
 import aiohttp
 
 HOST = "site.example"
-PROMISES = (408, 421, 429)
 
 
 @dataclass
@@ -28,12 +27,6 @@
         """How long to wait before the next try, 0 if the answer does not say so."""
         return float(self.headers.get("Retry-After", 0.0))
 
-    @property
-    def is_denial(self):
-        """Whether a machine denied the request, without a promise, on its own."""
-        denied = 300 <= self.status < 500 and self.status not in PROMISES
-        return denied and "Server-Seal" not in self.headers
-
 
 async def call(session, address, method, path, headers):
     """Sends a request without a body; returns what came of its answer."""
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -123,12 +123,6 @@
             )
         self.record.write("machine started", name=name)
 
-    def kill(self, name):
-        """Kills the process of a machine."""
-        self.processes[name].send_signal(signal.SIGKILL)
-        self.processes[name].wait()
-        self.record.write("machine killed", name=name)
-
     def terminate(self, name):
         """Stops a machine as planned: SIGTERM, which leaves it the grace period."""
         self.processes[name].send_signal(signal.SIGTERM)
@@ -150,10 +144,6 @@
         """Returns the address of a machine for callers."""
         return f"{self.ips[name]}:{self.port}"
 
-    def logs(self, name):
-        """Returns what a machine has written to its standard output."""
-        return (self.folder / f"{name}.log").read_text()
-
     async def stop(self):
         """Ends all processes."""
         if self.checker is not None:
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -20,9 +20,8 @@
 class Replica:
     """A replica that registers itself in the store and serves one request a channel.
 
-    ``runs`` has the ids of the requests that it began to work on. ``loses_answer``
-    tells of a request that ran whether its answer is lost. ``starts_later`` is set if
-    the replica does not serve from the beginning.
+    ``runs`` has the ids of the requests that it began to work on. ``starts_later`` is
+    set if the replica does not serve from the beginning.
     """
 
     def __init__(self, name, service, store, record, zone="muscat-a", version="v1"):
@@ -33,7 +32,6 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.runs = []
-        self.loses_answer = lambda request: False
         self.starts_later = False
         self.work_s = 0.02
         self.events, self.event_s = 6, 0.03
@@ -113,9 +111,6 @@
             await self._stream(request, writer)
             return
         await asyncio.sleep(self.work_s)
-        if self.loses_answer(request):
-            self.record.write("answer lost", request=request.id, replica=self.name)
-            return
         body = f"answer to {request.id}".encode()
         writer.write(head(request, "200 OK", len(body)) + body)
         await writer.drain()
