--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -136,6 +136,21 @@
             process.wait()
         self.record.write("machine ended", name=name)
 
+    def kill(self, name):
+        """Kills the process of a machine."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def kill_all(self):
+        """Kills the processes of all machines."""
+        for name in self.processes:
+            self.kill(name)
+
+    def restart_all(self):
+        """Starts the processes of all machines again."""
+        for name in self.ips:
+            self.start_gateway(name)
+
     def choose(self, rng):
         """Returns a machine that the platform may send a new channel to."""
         return rng.choice(sorted(self.in_rotation) or sorted(self.ips))
