--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 SERVICE = "booking-svc"
 REPLICAS, LOSSY_SHARE, LOST_SHARE, LOSS_S = 6, 0.6, 0.4, 4.0
 STABLE_S, JUDGED_S = 4.0, 20.0
-PERIODS = 1
+PERIODS = 2
 RECORDS, INTERVAL_S = 2, 0.025
 WORK_S = 0.06
 MAX_DENIED, MAX_DENIED_SHARE = 5, 1 / 500
