--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,68 +1,88 @@
-"""An entry of another writer can't be read; machines follow no replica any more."""
+"""A drill of the store during planned restarts; callers take their streams up."""
 
 import asyncio
-import random
 
-from review.common.callers import call, session
-from review.common.case import TROUBLE, Setting, run_case
-from review.common.configurations import configuration, read_headers, read_route
-from review.common.fleet import BOUNDS
+from review.common.callers import session
+from review.common.case import TROUBLE, run_case
+from review.common.configurations import configuration, stream_route
 from review.common.replicas import Replica
+from review.common.streams import Streams
 
-NESTING = 4000
-UNREADABLE = b'{"note": ' + b"[" * NESTING + b"]" * NESTING + b"}"
-CALLERS, PAUSE_S = 12, 0.2
-ENTRY_AFTER_S, DRAINING_AFTER_S, WATCH_S = 2.0, 5.0, 8.0
+SERVICE = "verbena-pool"
+OLD, NEW = 2, 4
+EVENTS, EVENT_S = 44, 0.26
+STREAMS = 24
+STABLE_S = 4.0
+AWAY_AFTER_S, AWAY_S, COPY_AGE_S = 2.0, 1.0, 3.0
+BEGIN_AFTER_S, RESTART_S, GAP_S = 1.6, 1.0, 1.0
+MAX_JOINED = 2
+STOPPED_FIRST, STOPPED_NEXT = "front-2", "front-1"
 
 
-def make_replicas(store, record) -> tuple[Replica, ...]:
-    """Returns the replicas of a plain service."""
-    return tuple(Replica(f"i-{n}", "booking", store, record) for n in range(3))
+def make_replicas(store, record):
+    """Returns the replicas of the old version and those of the new one."""
+    old = [Replica(f"i-a{n}", SERVICE, store, record, version="v1") for n in range(OLD)]
+    new = [Replica(f"i-b{n}", SERVICE, store, record, version="v2") for n in range(NEW)]
+    for replica in (*old, *new):
+        replica.events, replica.event_s = EVENTS, EVENT_S
+    for replica in new:
+        replica.starts_later = True
+    return (*old, *new)
 
 
-async def send_reads(client, setting: Setting, rng) -> None:
-    """Reads one record after the other."""
-    fleet, record = setting.fleet, setting.record
-    while True:
-        name, headers = fleet.choose(rng), read_headers()
-        request = headers["Request-Id"]
-        record.write("sent", request=request, machine=name)
-        path = f"/records/{request}"
-        answer = await call(client, fleet.address(name), "GET", path, headers)
-        record.write("answered", request=request, status=answer.status)
-        await asyncio.sleep(rng.uniform(0.5, 1.5) * PAUSE_S)
+async def restart(fleet, name):
+    """Stops a machine as planned, and starts it again."""
+    fleet.terminate(name)
+    await fleet.exited(name)
+    await asyncio.sleep(RESTART_S)
+    fleet.start_gateway(name)
 
 
-async def play(setting: Setting) -> bool:
-    """Lets a replica leave; returns whether requests reach it too late."""
-    rng, record = random.Random(1), setting.record
-    leaving = setting.replicas[0]
+async def drill(store, record):
+    """Has the store go away and come back from a copy."""
+    await asyncio.sleep(AWAY_AFTER_S)
+    if not TROUBLE:
+        return
+    store.go_away()
+    record.write("store away")
+    await asyncio.sleep(AWAY_S)
+    age_s = store.come_back_from_copy(COPY_AGE_S)
+    record.write("store back", copy_age_s=round(age_s, 2))
+
+
+async def play(setting):
+    """Returns whether ORDER was broken."""
+    store, record, fleet = setting.store, setting.record, setting.fleet
+    await asyncio.sleep(STABLE_S)
+    for replica in setting.replicas[OLD:]:
+        await replica.start()
+    record.write("replicas of the next version serve")
+    await asyncio.sleep(STABLE_S)
     async with session() as client:
-        tasks = [
-            asyncio.create_task(send_reads(client, setting, rng))
-            for _ in range(CALLERS)
+        streams = Streams(setting, client, EVENTS)
+        drilling = asyncio.create_task(drill(store, record))
+        restarting = asyncio.create_task(restart(fleet, STOPPED_FIRST))
+        await asyncio.sleep(BEGIN_AFTER_S)
+        work = [
+            asyncio.create_task(streams.stream(STOPPED_NEXT)) for _ in range(STREAMS)
         ]
-        await asyncio.sleep(ENTRY_AFTER_S)
-        if TROUBLE:
-            setting.store.put("servers", "other", UNREADABLE)
-            record.write("entry of another writer", bytes=len(UNREADABLE))
-        await asyncio.sleep(DRAINING_AFTER_S)
-        leaving.state = "draining"
-        leaving.register()
-        record.write("draining", replica=leaving.name)
-        await asyncio.sleep(BOUNDS["drain_ms"] / 1000)
-        in_time = len(leaving.runs)
-        record.write("drain_ms is over", replica=leaving.name)
-        await asyncio.sleep(WATCH_S)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-    late = len(leaving.runs) - in_time
-    record.write("late", requests=late)
-    print(f"{late} requests reached a draining replica after drain_ms")
-    return late > 0
+        await asyncio.gather(restarting, drilling)
+        await asyncio.sleep(GAP_S)
+        await asyncio.gather(restart(fleet, STOPPED_NEXT), *work)
+    summary = {
+        "streams": STREAMS,
+        "taken_up": streams.taken_up,
+        "went_on": streams.went_on,
+        "joined_from_two_versions": streams.joined,
+    }
+    record.write("result", **summary)
+    print(summary)
+    return streams.joined > MAX_JOINED
 
 
-if __name__ == "__main__":
-    start = configuration(4, read_route("booking"), services=("booking",))
-    run_case(__file__, start, make_replicas, play)
+run_case(
+    __file__,
+    configuration(1, stream_route(SERVICE), engines=(SERVICE,)),
+    make_replicas,
+    play,
+)
