--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,65 +1,76 @@
-"""A machine that started after a drill takes streams up at another version."""
+"""A drill of the store, then a planned stop; its callers take their streams up."""
 
 import asyncio
-from functools import partial
 
-from review.common.case import TROUBLE, Setting, run_case
+from review.common.callers import session
+from review.common.case import TROUBLE, run_case
 from review.common.configurations import configuration, stream_route
-from review.common.fleet import RESTART_S
-from review.common.streams import (
-    StreamPlan,
-    begin_and_break,
-    make_replicas,
-    new_replicas,
-    too_many_joined,
-)
-
-PLAN = StreamPlan(
-    streams=60,
-    spread_s=0.9,
-    events=45,
-    event_s=0.15,
-    tries=8,
-    try_again_s=0.8,
-    leaves_after_s=0.5,
-)
-STOPPED = "front-1"
-NEW_VERSION_AFTER_S, STOP_AFTER_S, STREAMS_AFTER_S = 1.0, 5.0, 2.0
-LOST_S, AWAY_S = 4.0, 1.0
+from review.common.replicas import Replica
+from review.common.streams import Streams
 
+SERVICE = "verbena-pool"
+OLD, NEW = 4, 2
+EVENTS, EVENT_S = 40, 0.27
+STREAMS = 24
+AWAY_S, COPY_AGE_S, STABLE_S = 1.0, 3.0, 4.0
+MIN_TAKEN_UP = 12
 
-async def restart(setting: Setting) -> None:
-    """Starts a machine again that was told to stop."""
-    await setting.fleet.exited(STOPPED)
-    await asyncio.sleep(RESTART_S)
-    setting.fleet.start_gateway(STOPPED)
 
+def make_replicas(store, record):
+    """Returns the replicas of the old version and those of the new one."""
+    old = [Replica(f"i-a{n}", SERVICE, store, record, version="v1") for n in range(OLD)]
+    new = [Replica(f"i-b{n}", SERVICE, store, record, version="v2") for n in range(NEW)]
+    for replica in (*old, *new):
+        replica.events, replica.event_s = EVENTS, EVENT_S
+    for replica in new:
+        replica.starts_later = True
+    return (*old, *new)
 
-async def drill(setting: Setting) -> None:
-    """Lets the store be away, and come back from a copy."""
-    if not TROUBLE:
-        return
-    setting.store.go_away()
-    setting.record.write("store away")
-    await asyncio.sleep(AWAY_S)
-    age_s = setting.store.come_back_from_copy(LOST_S + AWAY_S)
-    setting.record.write("store back", copy_age_s=round(age_s, 2))
 
-
-async def play(setting: Setting) -> bool:
-    """Takes a new version into service and out again; counts joined streams."""
-    await asyncio.sleep(NEW_VERSION_AFTER_S)
-    for replica in new_replicas(setting):
+async def play(setting):
+    """Returns whether LOST was broken."""
+    store, record, fleet = setting.store, setting.record, setting.fleet
+    await asyncio.sleep(STABLE_S)
+    for replica in setting.replicas[OLD:]:
         await replica.start()
-    await asyncio.sleep(STOP_AFTER_S)
-    setting.fleet.terminate(STOPPED)
-    restarted = asyncio.create_task(restart(setting))
-    await asyncio.sleep(STREAMS_AFTER_S)
-    streams = await begin_and_break(setting, PLAN, partial(drill, setting))
-    await restarted
-    return too_many_joined(setting, PLAN, streams)
+    record.write("replicas of the next version serve")
+    await asyncio.sleep(STABLE_S)
+    if TROUBLE:
+        store.go_away()
+        record.write("store away")
+        await asyncio.sleep(AWAY_S)
+        age_s = store.come_back_from_copy(COPY_AGE_S)
+        record.write("store back", copy_age_s=round(age_s, 2))
+    await asyncio.sleep(STABLE_S + 1.0)
+    stopped = "front-1"
+    async with session() as client:
+        streams = Streams(setting, client, EVENTS)
+        work = [asyncio.create_task(streams.stream(stopped)) for _ in range(STREAMS)]
+        await asyncio.sleep(1.0)
+        fleet.terminate(stopped)
+        await fleet.exited(stopped)
+        await asyncio.sleep(0.2)
+        new = [
+            asyncio.create_task(streams.stream(name))
+            for name in ("front-2", "front-3") * 8
+        ]
+        await asyncio.gather(*work, *new)
+    begun = streams.begun / streams.asked
+    went_on = streams.went_on / max(1, streams.taken_up)
+    summary = {
+        "new_streams": streams.asked,
+        "begun": round(begun, 3),
+        "taken_up": streams.taken_up,
+        "went_on": round(went_on, 3),
+    }
+    record.write("result", **summary)
+    print(summary)
+    return streams.taken_up >= MIN_TAKEN_UP and went_on < begun / 2
 
 
-if __name__ == "__main__":
-    start = configuration(4, stream_route("pool"), engines=("pool",))
-    run_case(__file__, start, partial(make_replicas, PLAN), play)
+run_case(
+    __file__,
+    configuration(1, stream_route(SERVICE), engines=(SERVICE,)),
+    make_replicas,
+    play,
+)
