--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -84,7 +84,7 @@
     names of machines to addresses of the store.
     """
 
-    def __init__(self, names, store_addresses, record, zone="muscat-a"):
+    def __init__(self, names, store_addresses, record, zone="norte-a"):
         self.record = record
         self.store_addresses = store_addresses
         self.zone = zone
@@ -192,7 +192,7 @@
         fields = {
             "node": name,
             "zone": self.zone,
-            "zones": {self.zone: "muscat"},
+            "zones": {self.zone: "norte"},
             "listen": {
                 "front": f"{ip}:{self.port}",
                 "ready": f"{ip}:{self.port + 1}",
--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -24,7 +24,7 @@
     set if the replica does not serve from the beginning.
     """
 
-    def __init__(self, name, service, store, record, zone="muscat-a", version="v1"):
+    def __init__(self, name, service, store, record, zone="norte-a", version="v1"):
         self.name, self.service, self.zone = name, service, zone
         self.version = version
         self.store, self.record = store, record
--- a/review/7/case.py
+++ b/review/further/lost_answers/case.py
@@ -1,20 +1,21 @@
-"""Answers of some replicas are lost for a while; the same records are read all day."""
+"""Answers of some replicas are lost for a while; many reads are of one record."""
 
 import asyncio
 import random
 import socket
 import struct
+import uuid
 
 from review.common.callers import call, session
 from review.common.case import TROUBLE, run_case
 from review.common.configurations import configuration, read_headers, read_route
 from review.common.replicas import Replica
 
-SERVICE = "booking-svc"
+SERVICE = "mesquita-app"
 REPLICAS, LOSSY_SHARE, LOST_SHARE, LOSS_S = 6, 0.6, 0.4, 4.0
 STABLE_S, JUDGED_S = 4.0, 20.0
-PERIODS = 2
-RECORDS, INTERVAL_S = 2, 0.025
+PERIODS = 4
+HOT_SHARE, INTERVAL_S = 0.3, 0.025
 WORK_S = 0.06
 MAX_DENIED, MAX_DENIED_SHARE = 5, 1 / 500
 NO_RETRY_S, MAX_RETRY_S = 0.05, 0.6
@@ -50,7 +51,8 @@
 
 async def read(setting, client, rng, statuses):
     """Reads a record; tries once more after a failure."""
-    path = f"/records/{rng.randrange(RECORDS)}"
+    record = "hot" if rng.random() < HOT_SHARE else uuid.uuid4().hex
+    path = f"/records/{record}"
     for _ in range(2):
         headers = read_headers()
         name = setting.fleet.choose(rng)
