--- a/verbenagrade/metrics/gateway.py
+++ b/verbenagrade/metrics/gateway.py
@@ -29,6 +29,11 @@
         )
         self._add_budget_metrics()
         self.repeats = self.counter("repeats", "Calls retried on another endpoint.")
+        self.responses = self.counter(
+            "responses",
+            "Responses of endpoints, by framing (length, chunks, connection) and by"
+            " result: complete, or the failure.",
+        )
         self.store_away = self.counter(
             "store_away", "Requests to the store without a response."
         )
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -9,6 +9,7 @@
 from verbenagrade.state.endpoint_stats import CallShape
 from verbenagrade.state.outcome import RequestOutcome
 from verbenagrade.state.placement import Placement
+from verbenagrade.state.response_end import Framing
 from verbenagrade.state.routes import RouteEntry, WorkspaceEntry
 from verbenagrade.transport.sends import SentRequest
 
@@ -95,7 +96,8 @@
     ``version_required`` is set if no event may be delivered before it is done.
     ``sent_at`` is when the present attempt began, ``sent`` has its connections,
     ``through_vm`` tells whether another VM passes it on, and ``events_before_attempt``
-    counts the events delivered until then. ``holders`` are the VMs with which the
+    counts the events delivered until then. ``framing`` is that of the last response,
+    ``None`` if the present attempt has none. ``holders`` are the VMs with which the
     call's tokens are reserved. Times are in seconds, on the clock of the process.
     """
 
@@ -117,6 +119,7 @@
         self.sent_at = 0.0
         self.sent = SentRequest()
         self.through_vm = False
+        self.framing: Framing | None = None
         self.events_before_attempt = 0
         self.granted_at = 0.0
         self.holders: tuple[str, ...] = ()
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
 from verbenagrade.protocol.event_stream import CompleteEvents, EventSplitter
 from verbenagrade.state.crash_suspects import MIN_SURVIVED_EVENTS
@@ -54,8 +55,15 @@
 
     def abort(self) -> None:
         """Closes the connection, so that the caller sees an incomplete response."""
-        if self.request.transport is not None:
-            self.request.transport.close()
+        transport = self.request.transport
+        if transport is None:
+            return
+        log_event(
+            Event.RESPONSE_ABORTED,
+            call=self.call.head.call_id,
+            unsent_bytes=transport.get_write_buffer_size(),
+        )
+        transport.close()
 
 
 async def deliver_plain(
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -157,6 +157,7 @@
     try:
         async with open_upstream(core, call, progress, entry, patience_s) as upstream:
             response = await _deliver(core, call, progress, writer, entry, upstream)
+            _count_end(core, progress, "complete")
             failed = response.status >= MIN_SERVER_ERROR_STATUS
             return response
     except UpstreamUnreachableError as error:
@@ -183,6 +184,7 @@
     progress.sent_at = core.clock()
     progress.sent = SentRequest()
     progress.through_vm = core.reach.cut_off
+    progress.framing = None
     progress.events_before_attempt = progress.delivered_events
     core.placement.sent(entry, call.head.call_id, call.shape, core.clock())
     begin_record(core, call, progress, entry)
@@ -201,6 +203,7 @@
     upstream: UpstreamResponse,
 ) -> web.StreamResponse:
     head = upstream.head
+    progress.framing = upstream.framing
     record_limit(core, call, progress, entry, head)
     record_notices(core, call.head.call_id, entry, head, progress.through_vm)
     if head.not_run:
@@ -253,6 +256,7 @@
 ) -> bool:
     """Records a failed attempt; returns whether another endpoint is to be tried."""
     failure = error.failure
+    _count_end(core, progress, failure.value)
     if not did_not_run(failure):
         progress.possible_runs += 1
     elif progress.possible_runs == 0:
@@ -277,6 +281,8 @@
         endpoint=entry.name,
         failure=failure.value,
         connections=progress.sent.connections,
+        framing=progress.framing,
+        attempt_events=progress.attempt_events,
         reason=str(error),
         left_s=round(call.deadline - now, 3),
     )
@@ -285,6 +291,13 @@
     return allowed
 
 
+def _count_end(core: GatewayCore, progress: CallProgress, result: str) -> None:
+    """Counts the end of a response, if one has begun."""
+    if progress.framing is not None:
+        labels = {"framing": progress.framing.value, "result": result}
+        core.metrics.responses.inc(labels)
+
+
 def _refusal_after_failure(
     core: GatewayCore, call: Call, progress: CallProgress
 ) -> refusals.Refusal:
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -26,6 +26,7 @@
 )
 from verbenagrade.state.calls import CallHead
 from verbenagrade.state.directory import EndpointEntry
+from verbenagrade.state.response_end import Framing
 from verbenagrade.transport.gateway.admission import (
     RefusedError,
     check_load,
@@ -38,8 +39,8 @@
 from verbenagrade.transport.gateway.reach import is_cut_off
 from verbenagrade.transport.gateway.send import (
     OutgoingRequest,
-    ends_with_connection,
     read_chunk,
+    read_framing,
     send_to_endpoint,
 )
 from verbenagrade.transport.sends import SentRequest
@@ -167,7 +168,14 @@
         except UpstreamFailedError as error:
             if not isinstance(error, UpstreamTimeoutError):
                 _record_break(core, relayed, entry, event_count)
-            log_event(Event.RELAY_BROKEN, endpoint=entry.name, reason=str(error))
+            log_event(
+                Event.RELAY_BROKEN,
+                call=_read_head(core, relayed).call_id,
+                endpoint=entry.name,
+                framing=read_framing(upstream),
+                events=event_count,
+                reason=str(error),
+            )
             if request.transport is not None:
                 request.transport.abort()
             return response
@@ -200,7 +208,7 @@
     response = web.StreamResponse(status=upstream.status)
     response.headers.extend(headers)
     response.headers.update(_result_headers(relayed, RelayResult.SENT))
-    if ends_with_connection(upstream):
+    if read_framing(upstream) is Framing.CONNECTION:
         response.headers[UNFRAMED_HEADER] = "1"
     return response
 
--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -9,14 +9,15 @@
 
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
 from verbenagrade.state.directory import EndpointEntry
+from verbenagrade.state.response_end import Framing
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.sends import SentRequest, send_once
 
 __all__ = [
     "SKIPPED_HEADERS",
     "OutgoingRequest",
-    "ends_with_connection",
     "read_chunk",
+    "read_framing",
     "send_to_endpoint",
 ]
 
@@ -89,7 +90,10 @@
     return data
 
 
-def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
-    """Returns whether only the end of the connection shows the end of the body."""
-    headers = response.headers
-    return "Content-Length" not in headers and "Transfer-Encoding" not in headers
+def read_framing(response: aiohttp.ClientResponse) -> Framing:
+    """Returns what shows the end of the body of a response."""
+    if "Transfer-Encoding" in response.headers:
+        return Framing.CHUNKS
+    if "Content-Length" in response.headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -20,14 +20,15 @@
 from verbenagrade.protocol.calls import EndpointCall, ResponseHead
 from verbenagrade.protocol.relay import UNFRAMED_HEADER, is_relay_header
 from verbenagrade.state.directory import EndpointEntry
+from verbenagrade.state.response_end import Framing
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.handover import hand_over
 from verbenagrade.transport.gateway.relay_client import request_through_peer
 from verbenagrade.transport.gateway.send import (
     OutgoingRequest,
-    ends_with_connection,
     read_chunk,
+    read_framing,
     send_to_endpoint,
 )
 from verbenagrade.transport.sends import SingleSendConnector
@@ -73,13 +74,12 @@
 class OpenResponse:
     """A response whose headers have arrived, and the end of its connection.
 
-    ``unframed`` is set if nothing but the end of the endpoint's connection shows the
-    end of the body.
+    ``framing`` is that of the endpoint's response, also if another VM passes it on.
     """
 
     response: aiohttp.ClientResponse
     closed: asyncio.Future[None] | None
-    unframed: bool
+    framing: Framing
 
 
 class UpstreamResponse:
@@ -96,7 +96,7 @@
         self.attempt = attempt
         self.response = opened.response
         self.closed = opened.closed
-        self.unframed = opened.unframed
+        self.framing = opened.framing
         self.head = head
         self.quiet_since = attempt.core.clock()
         self.bytes_at_event = 0
@@ -104,7 +104,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether nothing but the end of the connection shows the end of the body."""
-        return self.unframed
+        return self.framing is Framing.CONNECTION
 
     @property
     def header_items(self) -> Iterable[tuple[str, str]]:
@@ -231,13 +231,14 @@
         response = await request_through_peer(
             core, call, progress, attempt.entry, endpoint_call
         )
-        unframed = UNFRAMED_HEADER in response.headers
-        return OpenResponse(response, progress.sent.closed, unframed)
+        framing = read_framing(response)
+        if UNFRAMED_HEADER in response.headers:
+            framing = Framing.CONNECTION
+        return OpenResponse(response, progress.sent.closed, framing)
     headers = core.call_format.endpoint_headers(call.headers, endpoint_call)
     request = OutgoingRequest(call.method, call.head.path, headers, call.body)
     response = await send_to_endpoint(core, attempt.entry, request, progress.sent)
-    unframed = ends_with_connection(response)
-    return OpenResponse(response, progress.sent.closed, unframed)
+    return OpenResponse(response, progress.sent.closed, read_framing(response))
 
 
 HIGHEST_PRIORITY = 0
