--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -96,7 +96,7 @@
     return ReceivedRequest(method, path, headers, body)
 
 
-def _response_head(request, status="200 OK", **headers) -> bytes:
+def response_head(request, status="200 OK", **headers) -> bytes:
     lines = [f"HTTP/1.1 {status}", f"Request-Id: {request.headers['request-id']}"]
     if "seal" not in headers:
         lines.append(f"Server-Seal: {SEAL}")
@@ -110,7 +110,7 @@
         headers["Server_Limit"] = limit_per_s
 
     async def handle(request, writer):
-        head = _response_head(request, status, Content_Length=len(body), **headers)
+        head = response_head(request, status, Content_Length=len(body), **headers)
         writer.write(head + body)
         await writer.drain()
 
@@ -121,7 +121,7 @@
     """Sends a response which states that the request was not executed."""
 
     async def handle(request, writer):
-        head = _response_head(
+        head = response_head(
             request, status, Content_Length=0, Not_Executed=1, **headers
         )
         writer.write(head)
@@ -154,7 +154,7 @@
 
     async def handle(request, writer):
         if after:
-            writer.write(_response_head(request) + after)
+            writer.write(response_head(request) + after)
             await writer.drain()
             await asyncio.sleep(0.05)
         raw = writer.get_extra_info("socket")
@@ -168,7 +168,7 @@
     """Sends a response without a length, which ends with the connection."""
 
     async def handle(request, writer):
-        writer.write(_response_head(request) + body)
+        writer.write(response_head(request) + body)
         await writer.drain()
 
     return handle
@@ -189,7 +189,7 @@
     async def handle(request, writer):
         start = int(request.headers.get("last-event-id", first - 1)) + 1
         chunked = {"Transfer_Encoding": "chunked", "Content_Type": "text/event-stream"}
-        writer.write(_response_head(request, **chunked))
+        writer.write(response_head(request, **chunked))
         for number in range(start, last + 1):
             if cut is not None and number > cut:
                 if half:
@@ -232,7 +232,7 @@
     async def handle(request, writer):
         if head:
             encoding = {"Transfer_Encoding": "chunked"} if chunked else {}
-            writer.write(_response_head(request, **encoding))
+            writer.write(response_head(request, **encoding))
         writer.write(start)
         data = b"%x\r\n%s\r\n" % (len(repeated), repeated) if chunked else repeated
         while not writer.is_closing():
--- /dev/null
+++ b/verbenagrade/platform/tests/test_response_ends.py
@@ -0,0 +1,150 @@
+"""Tests that a response which broke off never looks complete to its caller.
+
+How an endpoint's response is framed and how its connection ends tell whether it is
+complete, see ``docs/design/response_ends.md``.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import pytest
+
+from verbenagrade.platform.tests.conftest import configuration_document, route
+from verbenagrade.platform.tests.endpoint_standin import close_delimited, stream
+from verbenagrade.platform.tests.response_ends import (
+    LAST_EVENT,
+    Ending,
+    ending,
+    events,
+)
+
+TIMEOUT_MS = 900
+WAYS = ["direct", "relayed"]
+"""Whether the VM sends a call to its endpoint or has another one pass it on."""
+
+
+@dataclass(frozen=True)
+class Heard:
+    """What a caller was told: the status, the body, and whether it looked complete."""
+
+    status: int
+    body: bytes
+    complete: bool
+
+
+async def start(testbed, way, max_attempts, *handlers) -> None:
+    """Starts a gateway with two endpoints that share the handlers, in their order."""
+    streaming = {"timeout_ms": TIMEOUT_MS, "max_attempts": max_attempts}
+    routes = [
+        route("/resume/", "streaming", stream_resume=True, **streaming),
+        route("/stream/", "streaming", stream_resume=False, **streaming),
+        route("/once/", "unsafe", timeout_ms=TIMEOUT_MS, max_attempts=1),
+        route("/safe/", "safe", timeout_ms=TIMEOUT_MS, max_attempts=max_attempts),
+    ]
+    shared = list(handlers)
+    for _ in range(2):
+        endpoint = await testbed.add_endpoint()
+        endpoint.handlers = shared
+    await testbed.start(configuration_document(routes=routes, tenants=None))
+    await testbed.wait_until_ready()
+    if way == "direct":
+        return
+    await testbed.start_another()
+    await testbed.cut_off(testbed.gateway)
+    testbed.core.reach.cut_off = True
+    await testbed.wait_until(lambda: testbed.core.fleet.peers.peers)
+    await testbed.wait_until(lambda: testbed.core.relay_keys.keys)
+
+
+def at_endpoint(testbed, what: Ending):
+    """Returns the handler of an ending for the endpoints of a testbed."""
+
+    def find(request):
+        """Returns the endpoint that a request is for."""
+        name = request.headers["expect-instance"]
+        return next(e for e in testbed.endpoints if e.name == name)
+
+    return ending(find, what)
+
+
+async def listen(testbed, path, **headers) -> Heard:
+    """Calls a path and returns what the caller is told."""
+    body, status = b"", 0
+    try:
+        async with testbed.open(path, **headers) as response:
+            status = response.status
+            while data := await response.content.readany():
+                body += data
+    except aiohttp.ClientError:
+        return Heard(status, body, False)
+    return Heard(status, body, True)
+
+
+def looks_whole(heard: Heard) -> bool:
+    """Returns whether a caller takes a response for a complete success."""
+    return heard.complete and heard.status == 200
+
+
+# Guards against a stream that goes on at an endpoint which breaks off without any event
+# and is told as complete.
+@pytest.mark.parametrize("close", ["fin", "exit"])
+@pytest.mark.parametrize("way", WAYS)
+async def test_stream_that_goes_on_without_events_is_not_complete(testbed, way, close):
+    broken = at_endpoint(testbed, Ending("connection", 0, close))
+    await start(testbed, way, 2, stream(LAST_EVENT, cut=2), broken)
+    heard = await listen(testbed, "/resume/x")
+    assert heard == Heard(200, events(1, 2), False)
+
+
+# Guards against the end of an endpoint's process being taken for the end of its stream.
+@pytest.mark.parametrize("path", ["/resume/x", "/stream/x"])
+@pytest.mark.parametrize("way", WAYS)
+async def test_stream_whose_endpoint_exits_after_an_event_is_not_complete(
+    testbed, way, path
+):
+    broken = at_endpoint(testbed, Ending("connection", 3, "exit"))
+    await start(testbed, way, 1, broken)
+    heard = await listen(testbed, path)
+    assert heard == Heard(200, events(1, 3), False)
+
+
+# Guards against the end of an endpoint's process being taken for the end of a body.
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x"])
+@pytest.mark.parametrize("way", WAYS)
+async def test_body_without_length_whose_endpoint_exits_is_not_complete(
+    testbed, way, path
+):
+    broken = at_endpoint(testbed, Ending("connection", 1, "exit"))
+    await start(testbed, way, 1, broken)
+    assert (await listen(testbed, path)).status == 502
+
+
+# Guards against a stream without a length being taken for broken if nothing shows that.
+@pytest.mark.parametrize("path", ["/resume/x", "/stream/x", "/once/x"])
+@pytest.mark.parametrize("way", WAYS)
+async def test_response_without_length_is_complete_if_its_endpoint_lives(
+    testbed, way, path
+):
+    whole = events(1, LAST_EVENT)
+    await start(testbed, way, 1, close_delimited(whole))
+    assert await listen(testbed, path) == Heard(200, whole, True)
+
+
+# Guards against an end of the response that is written after the stream was given up,
+# when its caller reads slowly.
+async def test_stream_that_broke_off_is_not_complete_for_a_slow_caller(testbed):
+    def long_event(number):
+        """Returns an event that fills the buffers of a connection."""
+        return b"id: %d\ndata: %s\n\n" % (number, b"x" * 500_000)
+
+    await start(testbed, "direct", 1, stream(9, cut=8, text=long_event))
+    address = testbed.url().removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(address[0], int(address[1]))
+    head = "POST /resume/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: call-s\r\n"
+    writer.write(f"{head}Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n".encode())
+    await asyncio.sleep(TIMEOUT_MS / 1000 + 0.3)
+    received = await reader.read(-1)
+    writer.close()
+    assert received.startswith(b"HTTP/1.1 200")
+    assert not received.endswith(b"0\r\n\r\n")
