Judge the end of a response by its own attempt and by whether its endpoint lives

Cause: two ways to read 'nothing seen' as 'whole'. A response without length and chunks ends with its connection, and one that ended after an event counted as complete, though the process of an endpoint that ends closes its connections in the same way. And a response without events counted as complete if an earlier attempt of the call had brought some. Bodies of plain services had the first fault too, and calls through another VM both.

Which of the two ways the users met can't be told from their record.

It counts the events of the attempt, and where nothing but the connection shows the end, an endpoint that accepts no connection afterwards has broken off.

--- a/review/ends/case.py
+++ b/review/ends/case.py
@@ -77,11 +77,11 @@
     record, fleet = setting.record, setting.fleet
     ends = {"whole": 0, "visibly_broken": 0, "ended_early": 0, "refused": 0}
 
-    async def stream(client):
-        """Asks for a stream and counts how it ended."""
+    async def stream(client, number):
+        """Asks for a stream of its own and counts how it ended."""
         headers = stream_headers(PROMPT_TOKENS, EVENTS)
         address = fleet.address(fleet.choose(random))
-        answer = await call(client, address, "POST", "/drafts/1", headers)
+        answer = await call(client, address, "POST", f"/drafts/{number}", headers)
         end = "visibly_broken"
         if answer.status not in (0, 200):
             end = "refused"
@@ -94,8 +94,8 @@
     crashes = asyncio.create_task(crash_replicas(setting.replicas, record))
     async with session() as client:
         work = []
-        for _ in range(STREAMS):
-            work.append(asyncio.create_task(stream(client)))
+        for number in range(STREAMS):
+            work.append(asyncio.create_task(stream(client, number)))
             await asyncio.sleep(STREAM_EVERY_S)
         await asyncio.gather(*work)
     crashes.cancel()
--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -40,7 +40,7 @@
     software_version: str = "v1"
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
@@ -60,7 +60,7 @@
             **changes,
         }
 
-    async def _serve(self, reader, writer):
+    async def serve(self, reader, writer):
         self.open_requests += 1
         try:
             request = await _read_request(reader)
@@ -164,11 +164,15 @@
     return handle
 
 
-def close_delimited(body):
-    """Sends a response without a length, which ends with the connection."""
+def close_delimited(body, chunked=False):
+    """Sends a response without a length, which ends with the connection.
+
+    With ``chunked``, its head says that the body is in chunks.
+    """
+    headers = {"Transfer_Encoding": "chunked"} if chunked else {}
 
     async def handle(request, writer):
-        writer.write(response_head(request) + body)
+        writer.write(response_head(request, **headers) + body)
         await writer.drain()
 
     return handle
--- a/verbenagrade/platform/tests/response_ends.py
+++ b/verbenagrade/platform/tests/response_ends.py
@@ -12,8 +12,9 @@
 from verbenagrade.platform.tests.endpoint_standin import encode_event, response_head
 
 LAST_EVENT = 6
-PAUSE_S = 0.02
+PAUSE_S = 0.01
 SILENCE_S = 60.0
+LISTENER_CLOSES_S = 0.01
 RESET = struct.pack("ii", 1, 0)
 """``SO_LINGER`` with a time of 0, which turns a close into a reset."""
 
@@ -24,9 +25,9 @@
 
     ``framing`` is ``length``, ``chunks`` or ``connection``. The response has the events
     up to number ``events``, and the bytes ``extra`` after them; in chunks, they stand
-    where the next chunk is due if ``raw`` is set. ``close`` is ``fin``, ``reset``,
-    ``silence``, or ``exit``: the endpoint's process ends, and with it the connection
-    and the listener.
+    where the next chunk is due if ``raw`` is set. ``close`` is ``fin``, ``last chunk``
+    (and then ``fin``), ``reset``, ``silence``, or ``exit``: the endpoint's process
+    ends, which closes the connection and some milliseconds later the listener.
     """
 
     framing: str
@@ -40,6 +41,13 @@
         raw = "raw" if self.raw else ""
         return f"{self.framing}-{self.events}{extra}{raw}-{self.close}"
 
+    @property
+    def whole(self) -> bool:
+        """Whether the endpoint has sent all of its stream, and nothing else."""
+        ends = {"length": "fin", "chunks": "last chunk", "connection": "fin"}
+        closed = self.framing == "length" or self.close == ends[self.framing]
+        return self.events == LAST_EVENT and not self.extra and closed
+
 
 def events(first: int, last: int) -> bytes:
     return b"".join(encode_event(number) for number in range(first, last + 1))
@@ -76,9 +84,40 @@
 async def _close(endpoint, writer, how: str) -> None:
     if how == "silence":
         await asyncio.sleep(SILENCE_S)
+    if how == "last chunk":
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
     if how == "exit":
-        await endpoint.stop()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LISTENER_CLOSES_S, endpoint.server.close)
     if how == "reset":
         raw = writer.get_extra_info("socket")
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         writer.transport.abort()
+
+
+ANOTHER_HEAD = b"HTTP/1.1 500 Oops\r\nRequest-Id: x\r\nContent-Length: 3\r\n\r\nbad"
+HALF_EVENT = b"id: 9\ndat"
+NO_EVENT = b"\x00\xff junk\n"
+UNDECIDABLE = {("connection", "fin"), ("chunks", "last chunk")}
+ENDINGS = [
+    end
+    for framing in ("length", "chunks", "connection")
+    for close in ("fin", "last chunk", "reset", "exit", "silence")
+    if close != "last chunk" or framing == "chunks"
+    for end in (
+        Ending(framing, 0, close),
+        Ending(framing, 3, close),
+        Ending(framing, LAST_EVENT, close),
+        Ending(framing, 0, close, HALF_EVENT),
+        Ending(framing, 3, close, HALF_EVENT),
+        Ending(framing, 3, close, NO_EVENT),
+        Ending(framing, 0, close, ANOTHER_HEAD),
+        Ending(framing, 3, close, ANOTHER_HEAD),
+        Ending(framing, 3, close, ANOTHER_HEAD, raw=framing == "chunks"),
+    )
+    if end.extra or end.whole or (framing, close) not in UNDECIDABLE
+]
+"""Each framing, position and kind of end. What is left out can't be told from a sound
+response: one without a length that a living endpoint ends after an event, and a last
+chunk too early."""
--- a/verbenagrade/platform/tests/test_response_ends.py
+++ b/verbenagrade/platform/tests/test_response_ends.py
@@ -5,14 +5,15 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import aiohttp
 import pytest
 
-from verbenagrade.platform.tests.conftest import configuration_document, route
+from verbenagrade.platform.tests.conftest import BOUNDS, configuration_document, route
 from verbenagrade.platform.tests.endpoint_standin import close_delimited, stream
 from verbenagrade.platform.tests.response_ends import (
+    ENDINGS,
     LAST_EVENT,
     Ending,
     ending,
@@ -20,6 +21,9 @@
 )
 
 TIMEOUT_MS = 900
+SILENCE_TIMEOUT_MS = "300"
+DEFAULT_KNOWN_S = 10.0
+RETRY_SLACK = 10_000
 WAYS = ["direct", "relayed"]
 """Whether the VM sends a call to its endpoint or has another one pass it on."""
 
@@ -46,7 +50,9 @@
     for _ in range(2):
         endpoint = await testbed.add_endpoint()
         endpoint.handlers = shared
-    await testbed.start(configuration_document(routes=routes, tenants=None))
+    bounds = replace(BOUNDS, retry_slack=RETRY_SLACK)
+    document = configuration_document(routes=routes, tenants=None)
+    await testbed.start(document, bounds=bounds)
     await testbed.wait_until_ready()
     if way == "direct":
         return
@@ -148,3 +154,88 @@
     writer.close()
     assert received.startswith(b"HTTP/1.1 200")
     assert not received.endswith(b"0\r\n\r\n")
+
+
+async def restart(testbed) -> None:
+    """Lets endpoints that have exited listen again, and gateways know that."""
+    for endpoint in testbed.endpoints:
+        if not endpoint.server.is_serving():
+            host, port = endpoint.address.split(":")
+            endpoint.server = await asyncio.start_server(endpoint.serve, host, port)
+    for gateway in (testbed.gateway, *testbed.others):
+        gateway.core.placement.forget_failed_connections()
+
+
+async def hear_each(testbed, path, attempt, endings) -> dict[str, Heard]:
+    """Returns what callers are told of each ending at an attempt of a call."""
+    heard = {}
+    for number, what in enumerate(endings):
+        handlers = [at_endpoint(testbed, what)]
+        if attempt == "later":
+            handlers.insert(0, stream(LAST_EVENT, cut=2))
+        for endpoint in testbed.endpoints:
+            endpoint.handlers = handlers
+        headers = {"Last_Event_Id": "2"} if attempt == "take-up" else {}
+        if what.close == "silence":
+            headers["Deadline_Ms"] = SILENCE_TIMEOUT_MS
+        body = f"call {number}".encode()
+        heard[str(what)] = await listen(testbed, path, body=body, **headers)
+        await restart(testbed)
+    return heard
+
+
+def wrong(endings, heard, first=1) -> list[str]:
+    """Returns what callers were told wrongly of streams that begin at an event."""
+    whole = events(first, LAST_EVENT)
+    found = []
+    for what in endings:
+        told = heard[str(what)]
+        right = looks_whole(told) == what.whole
+        if told.status == 200:
+            right = right and whole.startswith(told.body)
+            right = right and (told.body == whole or not what.whole)
+        if not right:
+            found.append(f"{what}: {told}")
+    return found
+
+
+# Guards against an end that is told wrongly, for each way in which a stream can end.
+@pytest.mark.parametrize("attempt", ["first", "later", "take-up"])
+@pytest.mark.parametrize("way", WAYS)
+async def test_stream_looks_complete_only_if_it_is(testbed, way, attempt):
+    await start(testbed, way, 2 if attempt == "later" else 1, stream(LAST_EVENT))
+    await testbed.wait_until(lambda: testbed.core.versions.defaults, DEFAULT_KNOWN_S)
+    endings = [e for e in ENDINGS if attempt == "first" or e.close != "silence"]
+    heard = await hear_each(testbed, "/resume/x", attempt, endings)
+    assert not wrong(endings, heard, 3 if attempt == "take-up" else 1)
+
+
+@pytest.mark.parametrize("way", WAYS)
+async def test_stream_that_may_not_be_resumed_looks_complete_only_if_it_is(
+    testbed, way
+):
+    await start(testbed, way, 1, stream(LAST_EVENT))
+    endings = [e for e in ENDINGS if e.close != "silence"]
+    assert not wrong(endings, await hear_each(testbed, "/stream/x", "first", endings))
+
+
+# Guards against bodies of plain services that broke off and look complete.
+@pytest.mark.parametrize("way", WAYS)
+async def test_body_looks_complete_only_if_it_is(testbed, way):
+    await start(testbed, way, 1, stream(LAST_EVENT))
+    endings = [e for e in ENDINGS if not e.extra]
+    heard = await hear_each(testbed, "/once/x", "first", endings)
+    assert not wrong(endings, heard)
+
+
+# Guards against a chunked stream being taken for complete, or its pieces being changed,
+# wherever its bytes end.
+async def test_chunked_stream_that_ends_at_any_byte_is_not_complete(testbed):
+    sent = events(1, 3)
+    encoded = b"%x\r\n%s\r\n0\r\n\r\n" % (len(sent), sent)
+    await start(testbed, "direct", 1, stream(LAST_EVENT))
+    for size in range(len(encoded)):
+        for endpoint in testbed.endpoints:
+            endpoint.handlers = [close_delimited(encoded[:size], chunked=True)]
+        heard = await listen(testbed, "/stream/x", body=b"call %d" % size)
+        assert not looks_whole(heard), encoded[:size]
--- a/verbenagrade/protocol/relay.py
+++ b/verbenagrade/protocol/relay.py
@@ -23,6 +23,7 @@
     "ORDER_HEADER",
     "PROOF_HEADER",
     "RESULT_HEADER",
+    "UNFRAMED_END_CHECKED",
     "UNFRAMED_HEADER",
     "NonceMemory",
     "RelayOrder",
@@ -44,6 +45,10 @@
 UNFRAMED_HEADER = "Verbenagrade-Relay-Unframed"
 """Is there if only the end of the endpoint's connection showed the end of the body."""
 
+UNFRAMED_END_CHECKED = "checked"
+"""Value of that header if the VM breaks its response off unless the endpoint lived
+after the end. A VM of an earlier build sends another value and does not check that."""
+
 MAX_NONCES = 100_000
 """Largest number of orders that are remembered, about 150 bytes each."""
 
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -85,6 +85,7 @@
         if writer.response is not None or len(body) > MAX_BUFFERED_BYTES:
             await writer.write(upstream, bytes(body))
             body.clear()
+    await upstream.check_end(streams=False)
     if writer.response is not None:
         await writer.response.write_eof()
         return writer.response
@@ -128,7 +129,7 @@
         if not survived and progress.attempt_events >= MIN_SURVIVED_EVENTS:
             survived = True
             record_survival(core, call, progress.sent_at)
-    _check_end(progress, upstream, splitter)
+    await upstream.check_end(streams=True, inside_event=bool(splitter.incomplete))
     if not survived and progress.attempt_events:
         record_survival(core, call, progress.sent_at)
     return await _finish(writer, upstream)
@@ -154,16 +155,6 @@
     return events
 
 
-def _check_end(
-    progress: CallProgress, upstream: UpstreamResponse, splitter: EventSplitter
-) -> None:
-    """Raises ``UpstreamFailedError`` if the end of a stream shows that it broke off."""
-    if splitter.incomplete:
-        raise UpstreamFailedError("the stream ended in the middle of an event")
-    if not progress.delivered_events and upstream.ends_with_connection:
-        raise UpstreamFailedError("the stream ended before its first event")
-
-
 def _remaining_s(core: GatewayCore, call: Call) -> float:
     """Returns the time left for a call, in seconds.
 
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -15,6 +15,7 @@
     ORDER_HEADER,
     PROOF_HEADER,
     RESULT_HEADER,
+    UNFRAMED_END_CHECKED,
     UNFRAMED_HEADER,
     RelayOrder,
     RelayResult,
@@ -26,7 +27,7 @@
 )
 from verbenagrade.state.calls import CallHead
 from verbenagrade.state.directory import EndpointEntry
-from verbenagrade.state.response_end import Framing
+from verbenagrade.state.response_end import Framing, ResponseEnd
 from verbenagrade.transport.gateway.admission import (
     RefusedError,
     check_load,
@@ -37,6 +38,7 @@
 from verbenagrade.transport.gateway.crashes import record_break
 from verbenagrade.transport.gateway.notices import record_notices
 from verbenagrade.transport.gateway.reach import is_cut_off
+from verbenagrade.transport.gateway.response_end import check_end, ended_with_reset
 from verbenagrade.transport.gateway.send import (
     OutgoingRequest,
     read_chunk,
@@ -159,12 +161,12 @@
         events = EventSplitter()
         event_count = 0
         try:
-            while data := await read_chunk(
-                upstream, sent.closed, _remaining_s(core, relayed)
-            ):
+            while data := await read_chunk(upstream, _remaining_s(core, relayed)):
                 event_count += events.feed(data).count
                 events.incomplete = events.incomplete[-1:]
                 await response.write(data)
+            end = ResponseEnd(read_framing(upstream), ended_with_reset(sent.closed))
+            await check_end(core, entry, end, relayed.deadline)
         except UpstreamFailedError as error:
             if not isinstance(error, UpstreamTimeoutError):
                 _record_break(core, relayed, entry, event_count)
@@ -209,7 +211,7 @@
     response.headers.extend(headers)
     response.headers.update(_result_headers(relayed, RelayResult.SENT))
     if read_framing(upstream) is Framing.CONNECTION:
-        response.headers[UNFRAMED_HEADER] = "1"
+        response.headers[UNFRAMED_HEADER] = UNFRAMED_END_CHECKED
     return response
 
 
--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -21,6 +21,7 @@
     "send_to_endpoint",
 ]
 
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -64,36 +65,30 @@
             core.reach.record_connected(started_at)
 
 
-async def read_chunk(
-    response: aiohttp.ClientResponse,
-    closed: asyncio.Future[None] | None,
-    timeout_s: float,
-) -> bytes:
+async def read_chunk(response: aiohttp.ClientResponse, timeout_s: float) -> bytes:
     """Returns the next bytes of the body, empty at its end.
 
-    ``closed`` is the end of the connection. Raises ``UpstreamTimeoutError`` if no bytes
-    arrive within ``timeout_s`` seconds, and ``UpstreamFailedError`` if the response is
-    incomplete.
+    Raises ``UpstreamTimeoutError`` if no bytes arrive within ``timeout_s`` seconds, and
+    ``UpstreamFailedError`` if the response has no end. Whether its end shows that it is
+    complete is for ``check_end``.
     """
     try:
         async with asyncio.timeout(timeout_s):
-            data = await response.content.readany()
+            return await response.content.readany()
     except TimeoutError as error:
         raise UpstreamTimeoutError("timeout while reading the response") from error
     except (aiohttp.ClientError, OSError) as error:
         raise UpstreamFailedError(f"the answer broke off: {error!r}") from error
-    # A body without a length ends with its connection, so a reset could otherwise be
-    # taken for the end of the body.
-    reset = closed is not None and closed.done() and closed.exception() is not None
-    if not data and reset:
-        raise UpstreamFailedError("the connection was reset during the response")
-    return data
 
 
 def read_framing(response: aiohttp.ClientResponse) -> Framing:
     """Returns what shows the end of the body of a response."""
-    if "Transfer-Encoding" in response.headers:
-        return Framing.CHUNKS
+    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
+    codings = response.headers.get("Transfer-Encoding", "")
+    if codings:
+        last = codings.rpartition(",")[2].strip().lower()
+        return Framing.CHUNKS if last == "chunked" else Framing.CONNECTION
     if "Content-Length" in response.headers:
         return Framing.LENGTH
     return Framing.CONNECTION
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -18,13 +18,18 @@
     UpstreamUnreachableError,
 )
 from verbenagrade.protocol.calls import EndpointCall, ResponseHead
-from verbenagrade.protocol.relay import UNFRAMED_HEADER, is_relay_header
+from verbenagrade.protocol.relay import (
+    UNFRAMED_END_CHECKED,
+    UNFRAMED_HEADER,
+    is_relay_header,
+)
 from verbenagrade.state.directory import EndpointEntry
-from verbenagrade.state.response_end import Framing
+from verbenagrade.state.response_end import Framing, ResponseEnd
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.handover import hand_over
 from verbenagrade.transport.gateway.relay_client import request_through_peer
+from verbenagrade.transport.gateway.response_end import check_end, ended_with_reset
 from verbenagrade.transport.gateway.send import (
     OutgoingRequest,
     read_chunk,
@@ -72,14 +77,18 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenResponse:
-    """A response whose headers have arrived, and the end of its connection.
+    """A response whose headers have arrived.
 
     ``framing`` is that of the endpoint's response, also if another VM passes it on.
+    ``closed`` is the end of the endpoint's connection, ``None`` if another VM has it.
+    ``end_checked`` is set if that VM ends its response only after it has found the
+    endpoint's complete.
     """
 
     response: aiohttp.ClientResponse
-    closed: asyncio.Future[None] | None
     framing: Framing
+    closed: asyncio.Future[None] | None = None
+    end_checked: bool = False
 
 
 class UpstreamResponse:
@@ -97,15 +106,11 @@
         self.response = opened.response
         self.closed = opened.closed
         self.framing = opened.framing
+        self.end_checked = opened.end_checked
         self.head = head
         self.quiet_since = attempt.core.clock()
         self.bytes_at_event = 0
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether nothing but the end of the connection shows the end of the body."""
-        return self.framing is Framing.CONNECTION
-
     @property
     def header_items(self) -> Iterable[tuple[str, str]]:
         """The headers of the endpoint's response."""
@@ -118,7 +123,24 @@
         Raises ``UpstreamTimeoutError`` if none arrive within ``timeout_s`` seconds,
         and ``UpstreamFailedError`` if the response is incomplete.
         """
-        return await read_chunk(self.response, self.closed, timeout_s)
+        return await read_chunk(self.response, timeout_s)
+
+    async def check_end(self, streams: bool, inside_event: bool = False) -> None:
+        """Raises ``UpstreamFailedError`` if the response that ended is not complete.
+
+        ``streams`` and ``inside_event`` are those of ``ResponseEnd``.
+        """
+        end = ResponseEnd(
+            framing=self.framing,
+            reset=ended_with_reset(self.closed),
+            streams=streams,
+            events=self.attempt.progress.attempt_events,
+            inside_event=inside_event,
+            endpoint_lives=True if self.end_checked else None,
+        )
+        attempt = self.attempt
+        entry = None if attempt.progress.through_vm else attempt.entry
+        await check_end(attempt.core, entry, end, attempt.call.deadline)
 
     def record_event(self) -> None:
         """Records that an event is complete."""
@@ -231,14 +253,14 @@
         response = await request_through_peer(
             core, call, progress, attempt.entry, endpoint_call
         )
-        framing = read_framing(response)
-        if UNFRAMED_HEADER in response.headers:
-            framing = Framing.CONNECTION
-        return OpenResponse(response, progress.sent.closed, framing)
+        unframed = response.headers.get(UNFRAMED_HEADER)
+        framing = read_framing(response) if unframed is None else Framing.CONNECTION
+        end_checked = unframed == UNFRAMED_END_CHECKED
+        return OpenResponse(response, framing, end_checked=end_checked)
     headers = core.call_format.endpoint_headers(call.headers, endpoint_call)
     request = OutgoingRequest(call.method, call.head.path, headers, call.body)
     response = await send_to_endpoint(core, attempt.entry, request, progress.sent)
-    return OpenResponse(response, progress.sent.closed, read_framing(response))
+    return OpenResponse(response, read_framing(response), progress.sent.closed)
 
 
 HIGHEST_PRIORITY = 0
