Fail a response at once if its chunks can't be read

Callers of a stream whose endpoint sent bytes that are no chunk, or another response, after a sound part waited up to their deadline (here 0.9 s) for a broken stream or a 504; logs said 'silent'. Cause: the HTTP library closes the connection of a body that it can't parse and sets the error on the connection only, so that whoever reads the body waits. The body now fails when its connection closes and it has neither an end nor an error; the library sets these before.

--- a/verbenagrade/platform/tests/test_response_ends.py
+++ b/verbenagrade/platform/tests/test_response_ends.py
@@ -13,8 +13,11 @@
 from verbenagrade.platform.tests.conftest import BOUNDS, configuration_document, route
 from verbenagrade.platform.tests.endpoint_standin import close_delimited, stream
 from verbenagrade.platform.tests.response_ends import (
+    ANOTHER_HEAD,
     ENDINGS,
     LAST_EVENT,
+    LISTENER_CLOSES_S,
+    NO_EVENT,
     Ending,
     ending,
     events,
@@ -158,6 +161,10 @@
 
 async def restart(testbed) -> None:
     """Lets endpoints that have exited listen again, and gateways know that."""
+    await testbed.wait_until(
+        lambda: not any(e.open_requests for e in testbed.endpoints)
+    )
+    await asyncio.sleep(2 * LISTENER_CLOSES_S)
     for endpoint in testbed.endpoints:
         if not endpoint.server.is_serving():
             host, port = endpoint.address.split(":")
@@ -228,6 +235,20 @@
     assert not wrong(endings, heard)
 
 
+# Guards against waiting up to the deadline for a body whose chunks can't be read.
+@pytest.mark.parametrize("path", ["/resume/x", "/stream/x", "/once/x"])
+@pytest.mark.parametrize("extra", [ANOTHER_HEAD, NO_EVENT])
+@pytest.mark.parametrize("way", WAYS)
+async def test_response_whose_chunks_cannot_be_read_fails_at_once(
+    testbed, way, path, extra
+):
+    broken = at_endpoint(testbed, Ending("chunks", 3, "silence", extra, raw=True))
+    await start(testbed, way, 1, broken)
+    started_at = asyncio.get_running_loop().time()
+    assert not looks_whole(await listen(testbed, path))
+    assert asyncio.get_running_loop().time() - started_at < TIMEOUT_MS / 1000 / 2
+
+
 # Guards against a chunked stream being taken for complete, or its pieces being changed,
 # wherever its bytes end.
 async def test_chunked_stream_that_ends_at_any_byte_is_not_complete(testbed):
--- a/verbenagrade/transport/gateway/relay_client.py
+++ b/verbenagrade/transport/gateway/relay_client.py
@@ -28,7 +28,7 @@
 from verbenagrade.state.relay_peers import RelayPeer
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
-from verbenagrade.transport.gateway.send import SKIPPED_HEADERS
+from verbenagrade.transport.gateway.send import SKIPPED_HEADERS, fail_body_at_close
 from verbenagrade.transport.sends import SentRequest, send_once
 
 __all__ = ["request_through_peer"]
@@ -166,7 +166,7 @@
     text = encode_order(order)
     proof = prove_order(core.relay_keys.keys[0], text)
     with send_once(progress.sent):
-        return await core.session.request(
+        response = await core.session.request(
             call.method,
             URL(f"http://{peer.address}{call.head.path}", encoded=True),
             headers={ORDER_HEADER: text, PROOF_HEADER: proof},
@@ -177,3 +177,5 @@
                 total=None, sock_connect=core.settings.tuning.connect_s
             ),
         )
+        fail_body_at_close(response, progress.sent.closed)
+        return response
--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -16,6 +16,7 @@
 __all__ = [
     "SKIPPED_HEADERS",
     "OutgoingRequest",
+    "fail_body_at_close",
     "read_chunk",
     "read_framing",
     "send_to_endpoint",
@@ -49,7 +50,7 @@
     started_at = core.clock()
     try:
         with send_once(sent):
-            return await core.session.request(
+            response = await core.session.request(
                 request.method,
                 URL(f"http://{entry.address}{request.path}", encoded=True),
                 headers=request.headers,
@@ -60,11 +61,32 @@
                     total=None, sock_connect=core.settings.tuning.connect_s
                 ),
             )
+            fail_body_at_close(response, sent.closed)
+            return response
     finally:
         if sent.connections:
             core.reach.record_connected(started_at)
 
 
+def fail_body_at_close(
+    response: aiohttp.ClientResponse, closed: asyncio.Future[None] | None
+) -> None:
+    """Lets the body fail if its connection closes and it has not ended.
+
+    The HTTP library closes the connection if it can't parse a body, and would let its
+    reader wait.
+    """
+
+    def fail(_closed: asyncio.Future[None]) -> None:
+        """Sets the error, unless the end or another error is known."""
+        if not response.content.is_eof() and response.content.exception() is None:
+            error = aiohttp.ClientPayloadError("the body can't be parsed")
+            response.content.set_exception(error)
+
+    if closed is not None:
+        closed.add_done_callback(fail)
+
+
 async def read_chunk(response: aiohttp.ClientResponse, timeout_s: float) -> bytes:
     """Returns the next bytes of the body, empty at its end.
 
