Pass only events that the caller lacks on in the middle of a stream

Here callers saw bytes that are no events if a blank line followed them, events that they had, and a response of another media type at a later attempt; the stream then ended as complete if its framing said so. Responses with another status were not passed on before either.

Events are now checked (fields, one id, larger than the one before, also than the id from which a caller takes the stream up), and a later response has to have the media type of the first.

On the code before, 10 tests fail: test_stream_looks_complete_only_if_it_is in its six forms, test_stream_that_may_not_be_resumed_looks_complete_only_if_it_is in both, and test_stream_goes_on_with_events_only with status 200 in both.

--- a/verbenagrade/platform/tests/test_response_ends.py
+++ b/verbenagrade/platform/tests/test_response_ends.py
@@ -11,7 +11,7 @@
 import pytest
 
 from verbenagrade.platform.tests.conftest import BOUNDS, configuration_document, route
-from verbenagrade.platform.tests.endpoint_standin import close_delimited, stream
+from verbenagrade.platform.tests.endpoint_standin import close_delimited, plain, stream
 from verbenagrade.platform.tests.response_ends import (
     ANOTHER_HEAD,
     ENDINGS,
@@ -235,6 +235,19 @@
     assert not wrong(endings, heard)
 
 
+# Guards against the text of an error in the middle of a stream that goes on elsewhere.
+@pytest.mark.parametrize(
+    "status", ["200 OK", "404 Not Found", "500 Oops", "503 Busy", "204 No Content"]
+)
+@pytest.mark.parametrize("way", WAYS)
+async def test_stream_goes_on_with_events_only(testbed, way, status):
+    error = plain(
+        b'id: 3\n: {"error": "busy"}\n\n', status, Content_Type="application/json"
+    )
+    await start(testbed, way, 2, stream(LAST_EVENT, cut=2), error)
+    assert await listen(testbed, "/resume/x") == Heard(200, events(1, 2), False)
+
+
 # Guards against waiting up to the deadline for a body whose chunks can't be read.
 @pytest.mark.parametrize("path", ["/resume/x", "/stream/x", "/once/x"])
 @pytest.mark.parametrize("extra", [ANOTHER_HEAD, NO_EVENT])
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -7,6 +7,7 @@
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
 from verbenagrade.protocol.event_stream import CompleteEvents, EventSplitter
+from verbenagrade.state.calls import CallKind
 from verbenagrade.state.crash_suspects import MIN_SURVIVED_EVENTS
 from verbenagrade.state.retries import next_event_timeout_s
 from verbenagrade.transport.gateway.calls import Call, CallProgress
@@ -32,7 +33,7 @@
     """Writes the response to the caller.
 
     Nothing is sent, not even the status line, before the first bytes of an
-    endpoint's response are there.
+    endpoint's response are there. ``media_type`` is that of the first endpoint's body.
     """
 
     def __init__(self, core: GatewayCore, request: web.BaseRequest, call: Call) -> None:
@@ -40,6 +41,7 @@
         self.request = request
         self.call = call
         self.response: web.StreamResponse | None = None
+        self.media_type = ""
 
     async def write(self, upstream: UpstreamResponse, data: bytes) -> None:
         """Writes bytes, after the status and headers if they were not yet sent."""
@@ -49,10 +51,20 @@
             if self.core.stopping:
                 response.force_close()
             self.response = response
+            self.media_type = upstream.media_type
             await response.prepare(self.request)
         if data:
             await self.response.write(data)
 
+    def find_mismatch(self, upstream: UpstreamResponse) -> str:
+        """Returns why a response can't go on one that has begun, empty if it can."""
+        if self.response is None:
+            return ""
+        if upstream.head.status != self.response.status:
+            return f"status {upstream.head.status} on resumption"
+        types = {self.media_type, upstream.media_type} - {""}
+        return f"{upstream.media_type} on resumption" if len(types) > 1 else ""
+
     def abort(self) -> None:
         """Closes the connection, so that the caller sees an incomplete response."""
         transport = self.request.transport
@@ -106,30 +118,28 @@
     Calls ``on_data`` for each block of events and updates ``progress``. Raises
     ``UpstreamFailedError`` or ``UpstreamTimeoutError`` if the stream ended early.
     """
-    splitter = EventSplitter()
+    splitter = EventSplitter(_known_event(call, progress))
     survived = False
     may_resume = may_be_handed_over(call, progress)
     while True:
-        remaining_s = _remaining_s(core, call)
-        if may_resume:
-            patience_s = next_event_timeout_s(call.route.target_gap_s, remaining_s)
-            data = await upstream.read_or_hand_over(patience_s)
-        else:
-            data = await upstream.read_chunk(remaining_s)
+        data = await _read_events(core, call, upstream, may_resume)
         if not data:
             break
-        events = _split(splitter, data)
+        events = splitter.feed(data)
         if events.count:
             on_data()
+        if events.data:
             await confirm_version(core, call, progress, upstream.attempt.entry)
             await writer.write(upstream, events.data)
+        if events.count:
             # After the write, so that a slow caller is not taken for a slow endpoint.
             upstream.record_event()
             _record_events(progress, events, core.clock())
+        _check_rest(splitter, events)
         if not survived and progress.attempt_events >= MIN_SURVIVED_EVENTS:
             survived = True
             record_survival(core, call, progress.sent_at)
-    await upstream.check_end(streams=True, inside_event=bool(splitter.incomplete))
+    await upstream.check_end(streams=True, inside_event=splitter.inside_event)
     if not survived and progress.attempt_events:
         record_survival(core, call, progress.sent_at)
     return await _finish(writer, upstream)
@@ -144,15 +154,29 @@
     return writer.response
 
 
-def _split(splitter: EventSplitter, data: bytes) -> CompleteEvents:
-    """Returns the events that are complete with the data.
+async def _read_events(
+    core: GatewayCore, call: Call, upstream: UpstreamResponse, may_resume: bool
+) -> bytes:
+    """Returns the next bytes of a stream, empty at its end."""
+    remaining_s = _remaining_s(core, call)
+    if not may_resume:
+        return await upstream.read_chunk(remaining_s)
+    patience_s = next_event_timeout_s(call.route.target_gap_s, remaining_s)
+    return await upstream.read_or_hand_over(patience_s)
 
-    Raises ``UpstreamFailedError`` if the next one is too long.
-    """
-    events = splitter.feed(data)
+
+def _known_event(call: Call, progress: CallProgress) -> str:
+    """Returns the id of the event after which a stream goes on, empty if it begins."""
+    resumable = call.kind is CallKind.RESUMABLE_STREAM
+    return progress.last_event_id if resumable else ""
+
+
+def _check_rest(splitter: EventSplitter, events: CompleteEvents) -> None:
+    """Raises ``UpstreamFailedError`` if what follows complete events can't be one."""
+    if events.fault:
+        raise UpstreamFailedError(events.fault)
     if len(splitter.incomplete) > MAX_EVENT_BYTES:
         raise UpstreamFailedError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-    return events
 
 
 def _remaining_s(core: GatewayCore, call: Call) -> float:
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -210,8 +210,9 @@
         raise SendFailedError(Failure.NOT_RUN, f"status {head.status}, not run")
     if head.status in NOT_RUN_STATUSES:
         raise SendFailedError(Failure.BROKEN, f"status {head.status}, unconfirmed")
-    if writer.response is not None and head.status != writer.response.status:
-        raise SendFailedError(Failure.FAILED, f"status {head.status} on resumption")
+    mismatch = writer.find_mismatch(upstream)
+    if mismatch:
+        raise SendFailedError(Failure.FAILED, mismatch)
     retry_allowed = is_retry_allowed(
         call.kind,
         call.route.max_runs,
@@ -275,20 +276,31 @@
         allowed = core.take_retry(call.service, now)
         if not allowed:
             log_event(Event.REPEAT_DENIED, call=call.head.call_id, service=call.service)
+    _log_failure(call, progress, entry, error, allowed, call.deadline - now)
+    if allowed:
+        core.metrics.repeats.inc({"failure": failure.value})
+    return allowed
+
+
+def _log_failure(
+    call: Call,
+    progress: CallProgress,
+    entry: EndpointEntry,
+    error: SendFailedError,
+    repeated: bool,
+    left_s: float,
+) -> None:
     log_event(
-        Event.CALL_REPEATED if allowed else Event.REQUEST_BROKEN,
+        Event.CALL_REPEATED if repeated else Event.REQUEST_BROKEN,
         call=call.head.call_id,
         endpoint=entry.name,
-        failure=failure.value,
+        failure=error.failure.value,
         connections=progress.sent.connections,
         framing=progress.framing,
         attempt_events=progress.attempt_events,
         reason=str(error),
-        left_s=round(call.deadline - now, 3),
+        left_s=round(left_s, 3),
     )
-    if allowed:
-        core.metrics.repeats.inc({"failure": failure.value})
-    return allowed
 
 
 def _count_end(core: GatewayCore, progress: CallProgress, result: str) -> None:
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -10,7 +10,7 @@
 
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
-from verbenagrade.protocol.event_stream import EventSplitter
+from verbenagrade.protocol.event_stream import EventCounter
 from verbenagrade.protocol.relay import (
     ORDER_HEADER,
     PROOF_HEADER,
@@ -158,24 +158,22 @@
         response = _response_to_vm(core, relayed, entry, upstream)
         _log(core, relayed, RelayResult.SENT, "")
         await response.prepare(request)
-        events = EventSplitter()
-        event_count = 0
+        events = EventCounter()
         try:
             while data := await read_chunk(upstream, _remaining_s(core, relayed)):
-                event_count += events.feed(data).count
-                events.incomplete = events.incomplete[-1:]
+                events.feed(data)
                 await response.write(data)
             end = ResponseEnd(read_framing(upstream), ended_with_reset(sent.closed))
             await check_end(core, entry, end, relayed.deadline)
         except UpstreamFailedError as error:
             if not isinstance(error, UpstreamTimeoutError):
-                _record_break(core, relayed, entry, event_count)
+                _record_break(core, relayed, entry, events.count)
             log_event(
                 Event.RELAY_BROKEN,
                 call=_read_head(core, relayed).call_id,
                 endpoint=entry.name,
                 framing=read_framing(upstream),
-                events=event_count,
+                events=events.count,
                 reason=str(error),
             )
             if request.transport is not None:
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -117,6 +117,12 @@
         items = self.response.headers.items()
         return (pair for pair in items if not is_relay_header(pair[0]))
 
+    @property
+    def media_type(self) -> str:
+        """The type of the body without parameters, empty if it is not told."""
+        content_type = self.response.headers.get("Content-Type", "")
+        return content_type.partition(";")[0].strip().lower()
+
     async def read_chunk(self, timeout_s: float) -> bytes:
         """Returns the next bytes of the body, empty at its end.
 
