--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -81,7 +81,8 @@
     """The gateways of a small deployment in one zone, each at its own address.
 
     ``processes`` maps the name of each machine to its process, ``store_addresses`` the
-    names of machines to addresses of the store.
+    names of machines to addresses of the store, and ``roots`` those that run another
+    build to its folder.
     """
 
     def __init__(self, names, store_addresses, record, zone="norte-a"):
@@ -94,6 +95,7 @@
         self.ips = {name: f"{prefix}.{n}" for n, name in enumerate(names, 1)}
         self.port = find_ports(self.ips.values())
         self.processes = {}
+        self.roots = {}
         self.in_rotation = set()
         self.checker = None
         self.role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
@@ -109,17 +111,18 @@
     def start_gateway(self, name):
         """Starts the process of a machine."""
         (role,) = self.role.values()
+        root = self.roots.get(name, ROOT)
         settings = self.folder / f"{name}.json5"
-        settings.write_text(self._fill_in(ROOT / role["template"], name))
+        settings.write_text(self._fill_in(root / role["template"], name))
         names = ("PATH", "HOME", "LANG")
         env = {key: os.environ[key] for key in names if key in os.environ}
         env |= role.get("env", {})
-        env["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        env["PYTHONPATH"] = str(root / "target" / "deps")
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         env["VERBENAGRADE_SETTINGS"] = str(settings)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                role["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
+                role["run"].split(), cwd=root, env=env, stdout=log, stderr=log
             )
         self.record.write("machine started", name=name)
 
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -12,6 +12,7 @@
 TRANSACTION_S = 0.005
 COPY_INTERVAL_S = 0.25
 COPIES = 80
+DEAD_ADDRESS = "127.0.0.1:1"
 WRITTEN_BY_OTHERS = ("op", "servers")
 
 
@@ -21,11 +22,18 @@
     return base64.b64encode(data).decode()
 
 
+def _with_dead_address(value):
+    entry = json.loads(base64.b64decode(value))
+    return encode({**entry, "address": DEAD_ADDRESS})
+
+
 class Store:
     """A linearizable store; ``era`` is told in all answers.
 
     While ``away`` is set, every call is answered 503 and does nothing. So is a call at
-    a port in ``closed_ports``; each machine can have a port of its own. ``copies`` are
+    a port in ``closed_ports``; each machine can have a port of its own. One that reads
+    at a port in ``cut_off_ports`` is told addresses of replicas at which nothing
+    listens, as if it were cut off from them. ``copies`` are
     older states, the newest last, with the time at which each was taken.
     """
 
@@ -36,6 +44,7 @@
         self.era = 1
         self.away = False
         self.closed_ports = set()
+        self.cut_off_ports = set()
         self.changed = asyncio.Event()
         self.copies = deque(maxlen=COPIES)
         self.runner = None
@@ -196,6 +205,7 @@
             and (last is None or name[2] < last)
         )
         rows = [self._row(name) for name in names[:limit]]
+        rows = self._shown(request, rows)
         return self._result(rows, truncated=len(names) > limit)
 
     async def _feed(self, request):
@@ -211,15 +221,23 @@
             pass
         if request["port"] in self.closed_ports or self.away or era != self.era:
             return None
-        return self._changes(table, after)
+        return self._result(self._shown(request, self._since(table, after)))
+
+    def _shown(self, request, rows):
+        """Returns rows as the machine that reads them is to see them."""
+        if request["port"] not in self.cut_off_ports:
+            return rows
+        return [
+            {**row, "value": _with_dead_address(row["value"])}
+            if row["table"] == "servers" and "value" in row
+            else row
+            for row in rows
+        ]
 
     def _ends_wait(self, request, era, table, after):
         gone = self.away or era != self.era or request["port"] in self.closed_ports
         return gone or bool(self._since(table, after))
 
-    def _changes(self, table, after):
-        return self._result(self._since(table, after))
-
     def _since(self, table, after):
         found = []
         for row in reversed(self.log):
