Reset a response that broke off for callers without chunks

A caller of HTTP/1.0 gets a stream without chunks, which ends with its connection. One that broke off was closed in order there and looked complete (test_stream_that_broke_off_is_reset_for_a_caller_without_chunks failed: no reset). Found by going through the ways in which a response can end; nobody has reported it. The connection is reset now if the response is not in chunks, and closed as before if it is.

--- a/verbenagrade/platform/tests/test_response_ends.py
+++ b/verbenagrade/platform/tests/test_response_ends.py
@@ -248,6 +248,34 @@
     assert await listen(testbed, "/resume/x") == Heard(200, events(1, 2), False)
 
 
+async def read_to_end(testbed, path) -> bytes:
+    """Returns the response to a caller of HTTP/1.0, which ends with its connection.
+
+    Raises ``ConnectionResetError`` if the connection is reset.
+    """
+    host, port = testbed.url().removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST {path} HTTP/1.0\r\nHost: site.example\r\nRequest-Id: call-10\r\n"
+    writer.write(f"{head}Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n".encode())
+    try:
+        return await reader.read(-1)
+    finally:
+        writer.close()
+
+
+# Guards against a stream that broke off and looks complete to callers without chunks.
+async def test_stream_that_broke_off_is_reset_for_a_caller_without_chunks(testbed):
+    await start(testbed, "direct", 1, stream(LAST_EVENT, cut=3, pause=0.02))
+    with pytest.raises(ConnectionResetError):
+        await read_to_end(testbed, "/stream/x")
+
+
+async def test_whole_stream_is_closed_in_order_for_a_caller_without_chunks(testbed):
+    await start(testbed, "direct", 1, stream(LAST_EVENT, pause=0.02))
+    response = await read_to_end(testbed, "/stream/x")
+    assert response.endswith(b"\r\n\r\n" + events(1, LAST_EVENT))
+
+
 # Guards against waiting up to the deadline for a body whose chunks can't be read.
 @pytest.mark.parametrize("path", ["/resume/x", "/stream/x", "/once/x"])
 @pytest.mark.parametrize("extra", [ANOTHER_HEAD, NO_EVENT])
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -1,5 +1,8 @@
 """Passes the bytes of an endpoint's response on to the caller unchanged."""
 
+import asyncio
+import socket
+import struct
 from collections.abc import Callable
 
 from aiohttp import web
@@ -29,6 +32,10 @@
 this is what a stream keeps in memory."""
 
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER``: linger for 0 s, which sends a reset."""
+
+
 class ResponseWriter:
     """Writes the response to the caller.
 
@@ -75,7 +82,18 @@
             call=self.call.head.call_id,
             unsent_bytes=transport.get_write_buffer_size(),
         )
-        transport.close()
+        if "Transfer-Encoding" in self.response.headers:
+            transport.close()
+        else:
+            _reset(transport)
+
+
+def _reset(transport: asyncio.Transport) -> None:
+    """Resets a connection, whose orderly close would look like the end of a body."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
 
 
 async def deliver_plain(
