Judge the ends of the bodies of plain services at routers too

The same cause elsewhere: a router took the body of a plain service without a length for complete if its connection was reset or its endpoint's process ended, told it to the caller, and stored it as the response to retries with the same key. Nobody has reported it. What reads framings and connections moves to transport/response_ends.py, which gateways share.

--- a/verbenagrade/state/response_end.py
+++ b/verbenagrade/state/response_end.py
@@ -12,7 +12,11 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["EndVerdict", "Framing", "ResponseEnd", "judge_end"]
+__all__ = ["PROCESS_EXIT_S", "EndVerdict", "Framing", "ResponseEnd", "judge_end"]
+
+PROCESS_EXIT_S = 0.03
+"""Time in seconds within which a process that ends closes its listener too. It may
+close hundreds of connections before."""
 
 
 class Framing(StrEnum):
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -1,7 +1,9 @@
 """HTTP client for endpoints."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import aiohttp
 import msgspec
@@ -12,7 +14,19 @@
     UpstreamUnreachableError,
 )
 from verbenagrade.protocol.chat import EngineRecord
-from verbenagrade.transport.sends import send_once
+from verbenagrade.state.response_end import (
+    PROCESS_EXIT_S,
+    EndVerdict,
+    ResponseEnd,
+    judge_end,
+)
+from verbenagrade.transport.response_ends import (
+    ended_with_reset,
+    fail_body_at_close,
+    read_framing,
+    try_connection,
+)
+from verbenagrade.transport.sends import SentRequest, send_once
 
 __all__ = ["EndpointClient"]
 
@@ -43,8 +57,9 @@
         body: bytes | None,
         attempt: str,
         content_type: str = "application/json",
+        sent: SentRequest | None = None,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Sends one attempt and yields the response.
+        """Sends one attempt, records its connection and yields the response.
 
         Raises ``UpstreamUnreachableError`` if nothing was sent,
         ``UpstreamTimeoutError`` if there was no progress for ``progress_s`` seconds,
@@ -52,10 +67,11 @@
         """
         headers = {ATTEMPT_HEADER: attempt, "Content-Type": content_type}
         try:
-            with send_once():
+            with send_once(sent) as recorded:
                 response = await self.session.request(
                     method, url, data=body, headers=headers, timeout=self.timeout
                 )
+            fail_body_at_close(response, recorded.closed)
             async with response:
                 yield response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -71,6 +87,27 @@
                 f"{url}: {type(error).__name__}; ask for the outcome before a retry"
             ) from error
 
+    async def read_body(
+        self, response: aiohttp.ClientResponse, sent: SentRequest
+    ) -> bytes:
+        """Returns the complete body of a response to the attempt ``sent``.
+
+        Raises ``UpstreamFailedError`` if nothing shows that it is complete.
+        """
+        body = await response.read()
+        end = ResponseEnd(read_framing(response), ended_with_reset(sent.closed))
+        verdict = judge_end(end)
+        if verdict is EndVerdict.ENDPOINT_UNKNOWN:
+            await asyncio.sleep(PROCESS_EXIT_S)
+            host, port = response.url.host, response.url.port
+            error = await try_connection(host, port, self.timeout.sock_connect)
+            verdict = judge_end(replace(end, endpoint_lives=error is None))
+        if verdict is not EndVerdict.COMPLETE:
+            raise UpstreamFailedError(
+                f"{response.url}: {verdict}; ask for the outcome before a retry"
+            )
+        return body
+
     async def close(self, base: str, attempt: str) -> EngineRecord | None:
         """Stops an attempt or prevents it from starting, and returns its token counts.
 
--- a/verbenagrade/transport/gateway/reach.py
+++ b/verbenagrade/transport/gateway/reach.py
@@ -10,6 +10,7 @@
 from verbenagrade.events import Event, log_event
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.response_ends import try_connection
 
 __all__ = ["accepts_connection", "is_cut_off", "watch_reach"]
 
@@ -104,12 +105,6 @@
 
 
 async def _try_connection(address: str, timeout_s: float) -> Exception | None:
-    """Opens and closes a connection; returns the error if that fails."""
+    """Tries to connect to an address ``HOST:PORT``; returns the error."""
     host, _, port = address.rpartition(":")
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError) as error:
-        return error
-    writer.close()
-    return None
+    return await try_connection(host, int(port), timeout_s)
--- a/verbenagrade/transport/gateway/relay_client.py
+++ b/verbenagrade/transport/gateway/relay_client.py
@@ -28,7 +28,8 @@
 from verbenagrade.state.relay_peers import RelayPeer
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
-from verbenagrade.transport.gateway.send import SKIPPED_HEADERS, fail_body_at_close
+from verbenagrade.transport.gateway.send import SKIPPED_HEADERS
+from verbenagrade.transport.response_ends import fail_body_at_close
 from verbenagrade.transport.sends import SentRequest, send_once
 
 __all__ = ["request_through_peer"]
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -38,13 +38,13 @@
 from verbenagrade.transport.gateway.crashes import record_break
 from verbenagrade.transport.gateway.notices import record_notices
 from verbenagrade.transport.gateway.reach import is_cut_off
-from verbenagrade.transport.gateway.response_end import check_end, ended_with_reset
+from verbenagrade.transport.gateway.response_end import check_end
 from verbenagrade.transport.gateway.send import (
     OutgoingRequest,
     read_chunk,
-    read_framing,
     send_to_endpoint,
 )
+from verbenagrade.transport.response_ends import ended_with_reset, read_framing
 from verbenagrade.transport.sends import SentRequest
 
 __all__ = ["handle_relayed_call"]
--- a/verbenagrade/transport/gateway/response_end.py
+++ b/verbenagrade/transport/gateway/response_end.py
@@ -5,20 +5,16 @@
 
 from verbenagrade.exceptions import UpstreamFailedError
 from verbenagrade.state.directory import EndpointEntry
-from verbenagrade.state.response_end import EndVerdict, ResponseEnd, judge_end
+from verbenagrade.state.response_end import (
+    PROCESS_EXIT_S,
+    EndVerdict,
+    ResponseEnd,
+    judge_end,
+)
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.reach import accepts_connection
 
-__all__ = ["check_end", "ended_with_reset"]
-
-PROCESS_EXIT_S = 0.03
-"""Time in seconds within which a process that ends closes its listener too. It may
-close hundreds of connections before."""
-
-
-def ended_with_reset(closed: asyncio.Future[None] | None) -> bool:
-    """Returns whether a connection has ended with an error; ``closed`` is its end."""
-    return closed is not None and closed.done() and closed.exception() is not None
+__all__ = ["check_end"]
 
 
 async def check_end(
--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -9,20 +9,17 @@
 
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
 from verbenagrade.state.directory import EndpointEntry
-from verbenagrade.state.response_end import Framing
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.response_ends import fail_body_at_close
 from verbenagrade.transport.sends import SentRequest, send_once
 
 __all__ = [
     "SKIPPED_HEADERS",
     "OutgoingRequest",
-    "fail_body_at_close",
     "read_chunk",
-    "read_framing",
     "send_to_endpoint",
 ]
 
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -68,25 +65,6 @@
             core.reach.record_connected(started_at)
 
 
-def fail_body_at_close(
-    response: aiohttp.ClientResponse, closed: asyncio.Future[None] | None
-) -> None:
-    """Lets the body fail if its connection closes and it has not ended.
-
-    The HTTP library closes the connection if it can't parse a body, and would let its
-    reader wait.
-    """
-
-    def fail(_closed: asyncio.Future[None]) -> None:
-        """Sets the error, unless the end or another error is known."""
-        if not response.content.is_eof() and response.content.exception() is None:
-            error = aiohttp.ClientPayloadError("the body can't be parsed")
-            response.content.set_exception(error)
-
-    if closed is not None:
-        closed.add_done_callback(fail)
-
-
 async def read_chunk(response: aiohttp.ClientResponse, timeout_s: float) -> bytes:
     """Returns the next bytes of the body, empty at its end.
 
@@ -101,16 +79,3 @@
         raise UpstreamTimeoutError("timeout while reading the response") from error
     except (aiohttp.ClientError, OSError) as error:
         raise UpstreamFailedError(f"the answer broke off: {error!r}") from error
-
-
-def read_framing(response: aiohttp.ClientResponse) -> Framing:
-    """Returns what shows the end of the body of a response."""
-    if response.method == "HEAD" or response.status in STATUSES_WITHOUT_BODY:
-        return Framing.LENGTH
-    codings = response.headers.get("Transfer-Encoding", "")
-    if codings:
-        last = codings.rpartition(",")[2].strip().lower()
-        return Framing.CHUNKS if last == "chunked" else Framing.CONNECTION
-    if "Content-Length" in response.headers:
-        return Framing.LENGTH
-    return Framing.CONNECTION
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -29,13 +29,13 @@
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.handover import hand_over
 from verbenagrade.transport.gateway.relay_client import request_through_peer
-from verbenagrade.transport.gateway.response_end import check_end, ended_with_reset
+from verbenagrade.transport.gateway.response_end import check_end
 from verbenagrade.transport.gateway.send import (
     OutgoingRequest,
     read_chunk,
-    read_framing,
     send_to_endpoint,
 )
+from verbenagrade.transport.response_ends import ended_with_reset, read_framing
 from verbenagrade.transport.sends import SingleSendConnector
 
 __all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
--- a/verbenagrade/transport/services.py
+++ b/verbenagrade/transport/services.py
@@ -33,6 +33,7 @@
 from verbenagrade.transport.background import BackgroundTasks
 from verbenagrade.transport.endpoint_client import EndpointClient
 from verbenagrade.transport.requests import Caller
+from verbenagrade.transport.sends import SentRequest
 
 __all__ = ["ServiceCall", "ServiceProxy"]
 
@@ -157,11 +158,12 @@
         outcome.advance("send")
         url = f"{admission.endpoint.url}/{call.path}"
         attempt = admission.reserved.attempt
+        sent = SentRequest()
         try:
             async with self.client.send(
-                call.method, url, call.body, attempt, call.content_type
+                call.method, url, call.body, attempt, call.content_type, sent
             ) as upstream:
-                body = await upstream.read()
+                body = await self.client.read_body(upstream, sent)
         except UpstreamUnreachableError:
             raise
         except Exception as error:
