Let a read after the end of a connection fail as declared

The HTTP library raises that error for a read after its connection was lost, and read_chunk did not expect it. test_read_after_the_connection_was_closed_fails_as_declared failed with the same error before.

--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -77,5 +77,6 @@
             return await response.content.readany()
     except TimeoutError as error:
         raise UpstreamTimeoutError("timeout while reading the response") from error
-    except (aiohttp.ClientError, OSError) as error:
+    # The HTTP library raises ``RuntimeError`` for a read after the connection was lost.
+    except (aiohttp.ClientError, OSError, RuntimeError) as error:
         raise UpstreamFailedError(f"the answer broke off: {error!r}") from error
