Let the soak play streams that end in all ways

The soak could not show it: its endpoints framed all streams by chunks, none of their processes ended alone, its proxies closed connections that an endpoint had reset, and the clients compared events but not all bytes.

`--ends` plays each framing with each way to break a stream off, processes of endpoints that end under way, and whole streams in each framing. Odd seeds have all other faults besides. Clients check each byte, and with even seeds also that no stream is reported as broken which its endpoint has sent to the end. What an endpoint sends after sound events may reach the client only at the end of a stream that is seen to break off.

Without the mode, nothing that seeds draw has changed. Calls that clients give up now count as "left" instead of "lost".

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,11 +1,18 @@
 """Command line of the soak test: ``python -m soak --first 1 --seeds 50``."""
 
 import asyncio
+from functools import partial
 from typing import Annotated
 
 import typer
 
-from soak.run import run_crash_seed, run_limit_seed, run_seed
+from soak.run import (
+    SoakReport,
+    run_crash_seed,
+    run_end_seed,
+    run_limit_seed,
+    run_seed,
+)
 
 EXIT_VIOLATIONS = 1
 
@@ -26,27 +33,33 @@
     limits: Annotated[
         bool, typer.Option(help="Let an endpoint name a limit on calls instead.")
     ] = False,
+    ends: Annotated[
+        bool, typer.Option(help="Let streams of endpoints end in all ways instead.")
+    ] = False,
 ) -> None:
     """Runs the seeds one after another and prints each violated invariant."""
+    play = partial(run_seed, drills=drills, faults=faults)
+    modes = (ends, run_end_seed), (crashes, run_crash_seed), (limits, run_limit_seed)
+    for chosen, mode in modes:
+        play = mode if chosen else play
     failed = 0
     for seed in range(first, first + seeds):
-        if limits:
-            report = asyncio.run(run_limit_seed(seed, seconds))
-        elif crashes:
-            report = asyncio.run(run_crash_seed(seed, seconds))
-        else:
-            report = asyncio.run(run_seed(seed, seconds, drills, faults))
+        report = asyncio.run(play(seed, seconds))
         failed += bool(report.violations)
-        typer.echo(
-            f"seed {seed}: {report.run_count} runs, {report.spent_tokens} tokens,"
-            f" responses {report.status_counts}, {len(report.violations)} violations,"
-            f" logs in {report.log_directory}"
-        )
-        for violation in report.violations[:10]:
-            typer.echo(f"  {violation.invariant}: {violation.call} {violation.detail}")
+        _print(report)
     typer.echo(f"{seeds} seeds, {failed} with violations")
     raise typer.Exit(EXIT_VIOLATIONS if failed else 0)
 
 
+def _print(report: SoakReport) -> None:
+    typer.echo(
+        f"seed {report.seed}: {report.run_count} runs, {report.spent_tokens} tokens,"
+        f" responses {report.status_counts}, {len(report.violations)} violations,"
+        f" logs in {report.log_directory}"
+    )
+    for violation in report.violations[:10]:
+        typer.echo(f"  {violation.invariant}: {violation.call} {violation.detail}")
+
+
 if __name__ == "__main__":
     typer.run(main)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -13,7 +13,7 @@
 from verbenagrade.platform.tests.caller import call_headers
 from verbenagrade.transport.sends import SingleSendConnector, send_once
 
-__all__ = ["Client"]
+__all__ = ["Client", "ClientOptions"]
 
 PROMPT_TOKENS = 20
 TOKENS_PER_EVENT = 7
@@ -25,6 +25,33 @@
 API_KEY = "key-of-hotel"
 
 
+@dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """What a client calls and checks.
+
+    It takes a broken stream up ``resumptions`` times at most. With ``exact``, it checks
+    each byte of streams and goes on after the last complete event. ``undisturbed``
+    tells that endpoints alone suffer faults.
+    """
+
+    paths: tuple[str, ...] = PATHS
+    resumptions: int = 1
+    exact: bool = False
+    undisturbed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """The status of a response, 0 if there is none, and how its body ended.
+
+    ``left`` tells that the client did not wait for the end.
+    """
+
+    status: int
+    complete: bool = False
+    left: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class Stream:
     """The call that began a stream, and the version of each event received."""
@@ -42,7 +69,9 @@
         addresses: list[str],
         checker: InvariantChecker,
         rng: random.Random,
+        options: ClientOptions | None = None,
     ) -> None:
+        self.options = options or ClientOptions()
         self.name = name
         self.addresses = addresses
         self.checker = checker
@@ -54,10 +83,13 @@
         connector = SingleSendConnector()
         async with aiohttp.ClientSession(connector=connector) as session:
             while not stop.is_set():
-                path = self.rng.choice(PATHS)
+                path = self.rng.choice(self.options.paths)
                 broken = await self._call(session, self._next_call(), path)
-                if broken is not None:
-                    await self._call(session, self._next_call(), path, broken)
+                for _ in range(self.options.resumptions):
+                    if broken is None:
+                        break
+                    call = self._next_call()
+                    broken = await self._call(session, call, path, broken)
                 await asyncio.sleep(self.rng.uniform(0.0, 0.05))
 
     def _next_call(self) -> str:
@@ -85,11 +117,17 @@
             headers["Last-Event-Id"] = str(len(resumed.versions))
         body = bytearray()
         url = f"http://{self.rng.choice(self.addresses)}{path}"
-        status, complete = await self._send(session, call, url, headers, body)
+        received = await self._send(session, call, url, headers, body)
         stream = resumed or Stream(call, [])
-        self._check_response(call, path, status, bytes(body), complete, stream)
-        resumable = path.startswith("/resume") and not complete
-        return stream if resumable and stream.versions else None
+        known_events = len(stream.versions)
+        self._check_response(call, path, received, bytes(body), stream)
+        if resumed is not None:
+            self.checker.status_counts["taken up"] += 1
+            went_on = len(stream.versions) > known_events
+            self.checker.status_counts["went on"] += went_on
+        has_rest = 0 < len(stream.versions) < EVENTS_PER_STREAM
+        resumable = path.startswith("/resume") and has_rest
+        return stream if resumable and not received.complete else None
 
     async def _send(
         self,
@@ -98,11 +136,10 @@
         url: str,
         headers: dict[str, str],
         body: bytearray,
-    ) -> tuple[int, bool]:
+    ) -> Received:
         """Sends a request, and adds what is received to ``body``.
 
-        Returns the status, and whether the response is complete. Some calls have a
-        short timeout.
+        Some calls have a short timeout.
         """
         timeout_s = DEADLINE_S + 1.0
         if self.rng.random() < EARLY_TIMEOUT_PROBABILITY:
@@ -120,33 +157,33 @@
                     status = response.status
                     async for chunk in response.content.iter_any():
                         body += chunk
-                    return status, True
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            # The gateway was lost or this client timed out. The part of the
-            # response that was received is still checked.
+                    return Received(status, complete=True)
+        except TimeoutError:
+            # The part of the response that was received is still checked.
+            self.checker.status_counts["left"] += 1
+            return Received(status, left=True)
+        except (aiohttp.ClientError, OSError):
+            # The gateway was lost, or it broke the response off.
             self.checker.status_counts["lost"] += 1
-        return status, False
+        return Received(status)
 
     def _check_response(
-        self,
-        call: str,
-        path: str,
-        status: int,
-        body: bytes,
-        complete: bool,
-        stream: Stream,
+        self, call: str, path: str, received: Received, body: bytes, stream: Stream
     ) -> None:
         events = 0
+        status, complete = received.status, received.complete
         if status == 200 and path.startswith(("/resume", "/stream")):
             first = len(stream.versions) + 1
-            versions = self.checker.check_events(
-                call, body, first, EVENTS_PER_STREAM, complete
-            )
+            exact = self.options.exact
+            check = self.checker.check_stream if exact else self.checker.check_events
+            versions = check(call, body, first, EVENTS_PER_STREAM, complete)
             events = len(versions)
             stream.versions.extend(versions)
             self.checker.check_versions(call, stream.versions)
         elif status == 200 and complete:
             self.checker.check_body(call, body)
+        if self.options.undisturbed and not received.left:
+            self.checker.check_whole(call, status == 200 and complete)
         if status:
             self.checker.record_status(call, status)
         self.checker.record_delivery(call, PROMPT_TOKENS, events)
--- a/soak/crashes.py
+++ b/soak/crashes.py
@@ -16,7 +16,6 @@
 from soak.clients import API_KEY, DEADLINE_S, PROMPT_TOKENS
 from soak.environment import SoakEnvironment
 from soak.faults import inject_faults
-from soak.proxy import Proxy
 from verbenagrade.platform.tests import endpoint_standin as standin
 from verbenagrade.platform.tests.caller import call_headers, shared_parts
 
@@ -66,10 +65,7 @@
 
     async def _bring_back(self, number: int) -> None:
         await asyncio.sleep(RETURN_S)
-        proxy = Proxy(self.environment.endpoints[number].address)
-        await proxy.start()
-        self.environment.endpoint_proxies[number] = proxy
-        self.environment.register_endpoint(number, born=10_000 + self.crashes)
+        await self.environment.bring_back_endpoint(number, born=10_000 + self.crashes)
 
 
 async def play_crashes(
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -6,7 +6,7 @@
 from soak.checks import InvariantChecker
 from verbenagrade.platform.tests import endpoint_standin as standin
 
-__all__ = ["EVENTS_PER_STREAM", "random_behaviour"]
+__all__ = ["EVENTS_PER_STREAM", "EVENT_INTERVAL_S", "event_text", "random_behaviour"]
 
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.02
@@ -67,5 +67,10 @@
         cut=last_event,
         half=last_event is not None,
         pause=EVENT_INTERVAL_S,
-        text=lambda number: f"id: {number}\ndata: {call} {version}\n\n".encode(),
+        text=lambda number: event_text(call, version, number),
     )
+
+
+def event_text(call: str, version: str, number: int) -> bytes:
+    """Returns an event of the stream of a call."""
+    return f"id: {number}\ndata: {call} {version}\n\n".encode()
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -34,9 +34,13 @@
 
 
 class SoakEnvironment:
-    """Runs gateways as processes, with store and endpoints behind loopback proxies."""
+    """Runs gateways as processes, with store and endpoints behind loopback proxies.
 
-    def __init__(self, seed: int) -> None:
+    ``passes_resets`` is that of the proxies of endpoints.
+    """
+
+    def __init__(self, seed: int, passes_resets: bool = False) -> None:
+        self.passes_resets = passes_resets
         self.rng = random.Random(seed)
         self.prepaid_tokens = SMALL_BUDGET_TOKENS if seed % 2 else LARGE_BUDGET_TOKENS
         self.checker = InvariantChecker(self.prepaid_tokens, TOKENS_PER_EVENT)
@@ -58,7 +62,8 @@
         await self.store.start()
         self.write_configuration()
         for number in range(ENDPOINTS):
-            await self._start_endpoint(number)
+            version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
+            await self.add_endpoint(version, self.faults_enabled)
         for number in range(GATEWAYS):
             proxy = Proxy(self.store.address)
             await proxy.start()
@@ -131,16 +136,25 @@
             await endpoint.stop()
         await self.store.stop()
 
-    async def _start_endpoint(self, number: int) -> None:
-        version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
-        behave = random_behaviour(self.rng, self.checker, self.faults_enabled, version)
+    async def add_endpoint(self, version: str, faults_enabled: list[bool]) -> int:
+        """Starts an endpoint, writes its entry and returns its number."""
+        behave = random_behaviour(self.rng, self.checker, faults_enabled, version)
+        number = len(self.endpoints)
         endpoint = EndpointStandIn(f"i-{number}", [behave], software_version=version)
         await endpoint.start()
-        proxy = Proxy(endpoint.address)
+        proxy = Proxy(endpoint.address, self.passes_resets)
         await proxy.start()
         self.endpoints.append(endpoint)
         self.endpoint_proxies.append(proxy)
         self.register_endpoint(number)
+        return number
+
+    async def bring_back_endpoint(self, number: int, born: int) -> None:
+        """Brings an endpoint back at another port, as another incarnation."""
+        proxy = Proxy(self.endpoints[number].address, self.passes_resets)
+        await proxy.start()
+        self.endpoint_proxies[number] = proxy
+        self.register_endpoint(number, born=born)
 
     def register_endpoint(self, number: int, **changes: object) -> None:
         """Writes the store entry of an endpoint, with the address of its proxy.
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,9 +1,11 @@
 """Loopback TCP proxy that delays, blocks, refuses or resets connections."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 
-__all__ = ["LinkState", "Proxy"]
+__all__ = ["LinkState", "Proxy", "reset_connection"]
 
 CHUNK_BYTES = 65_536
 
@@ -24,10 +26,15 @@
 
 
 class Proxy:
-    """Forwards connections from a loopback address to ``target`` (``host:port``)."""
+    """Forwards connections from a loopback address to ``target`` (``host:port``).
 
-    def __init__(self, target: str) -> None:
+    A connection that the target or ``reset`` resets is reset for its client too if
+    ``passes_resets`` is set, and closed otherwise.
+    """
+
+    def __init__(self, target: str, passes_resets: bool = False) -> None:
         self.target = target
+        self.passes_resets = passes_resets
         self.link = LinkState()
         self.address = ""
         self.open_writers: set[asyncio.StreamWriter] = set()
@@ -48,13 +55,17 @@
     def reset(self) -> None:
         """Resets all open connections."""
         for writer in self.open_writers:
-            writer.transport.abort()
+            self._abort(writer)
 
     def stop(self) -> None:
         """Stops listening and resets all open connections."""
-        self.server.close()
+        self.stop_listening()
         self.reset()
 
+    def stop_listening(self) -> None:
+        """Refuses new connections; those that are open go on."""
+        self.server.close()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -95,6 +106,12 @@
                 await writer.drain()
             writer.write_eof()
         except (ConnectionError, OSError, RuntimeError):
+            self._abort(writer)
+
+    def _abort(self, writer: asyncio.StreamWriter) -> None:
+        if self.passes_resets:
+            reset_connection(writer)
+        else:
             writer.transport.abort()
 
     async def _wait_until_open(self, forward: bool) -> None:
@@ -103,3 +120,11 @@
             await self.link_changed.wait()
         if self.link.delay_s:
             await asyncio.sleep(self.link.delay_s)
+
+
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection by a reset, unless it is closed already."""
+    raw = writer.get_extra_info("socket")
+    if not writer.is_closing():
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,11 +10,18 @@
 from soak.checks import Violation
 from soak.clients import Client
 from soak.crashes import play_crashes
+from soak.ends import play_ends
 from soak.environment import SoakEnvironment
 from soak.faults import inject_drills, inject_faults
 from soak.limits import play_limits
 
-__all__ = ["SoakReport", "run_crash_seed", "run_limit_seed", "run_seed"]
+__all__ = [
+    "SoakReport",
+    "run_crash_seed",
+    "run_end_seed",
+    "run_limit_seed",
+    "run_seed",
+]
 
 Play = Callable[
     [SoakEnvironment, int, float], Awaitable[tuple[Counter[str], int, list[Violation]]]
@@ -28,9 +35,10 @@
 class SoakReport:
     """Result of one seed.
 
-    ``status_counts`` counts responses by HTTP status, and calls whose response
-    failed as ``"lost"``. ``run_count`` is the number of runs at endpoints.
-    ``log_directory`` holds the gateways' settings and logs.
+    ``status_counts`` counts responses by HTTP status, calls whose response failed as
+    ``"lost"``, and those that clients gave up as ``"left"``. ``run_count`` is the
+    number of runs at endpoints. ``log_directory`` holds the gateways' settings and
+    logs.
     """
 
     seed: int
@@ -109,8 +117,22 @@
     return await _run_play(play_limits, seed, seconds)
 
 
-async def _run_play(play: Play, seed: int, seconds: float) -> SoakReport:
-    environment = SoakEnvironment(2 * seed)
+async def run_end_seed(seed: int, seconds: float) -> SoakReport:
+    """Runs gateways, and endpoints whose streams end in all ways, for ``seconds``.
+
+    ``run_count`` is the number of runs at endpoints.
+    """
+    environment = SoakEnvironment(2 * seed, passes_resets=True)
+    return await _run_play(play_ends, seed, seconds, environment)
+
+
+async def _run_play(
+    play: Play,
+    seed: int,
+    seconds: float,
+    environment: SoakEnvironment | None = None,
+) -> SoakReport:
+    environment = environment or SoakEnvironment(2 * seed)
     environment.store.era = 1
     await environment.start()
     try:
