Let the soak play odd rows, and a release beside gateways out of step

`--rows` has another writer put in and remove rows that are nested deeply, have numbers too large or bad addresses, or are no JSON. Endpoints are replaced meanwhile. Calls must be served on, none unexpectedly fail, none reach an endpoint 3 s after it left, and no gateway end by itself.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
     run_crash_seed,
     run_end_seed,
     run_limit_seed,
+    run_row_seed,
     run_seed,
 )
 
@@ -36,11 +37,14 @@
     ends: Annotated[
         bool, typer.Option(help="Let streams of endpoints end in all ways instead.")
     ] = False,
+    rows: Annotated[
+        bool, typer.Option(help="Write odd rows and play a release instead.")
+    ] = False,
 ) -> None:
     """Runs the seeds one after another and prints each violated invariant."""
     play = partial(run_seed, drills=drills, faults=faults)
-    modes = (ends, run_end_seed), (crashes, run_crash_seed), (limits, run_limit_seed)
-    for chosen, mode in modes:
+    modes = (ends, run_end_seed), (rows, run_row_seed)
+    for chosen, mode in (*modes, (crashes, run_crash_seed), (limits, run_limit_seed)):
         play = mode if chosen else play
     failed = 0
     for seed in range(first, first + seeds):
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import aiohttp
 
@@ -20,6 +20,7 @@
 DEADLINE_S = 2.0
 EARLY_TIMEOUT_S = 0.1
 EARLY_TIMEOUT_PROBABILITY = 0.05
+RESUME_AT_FRACTION = 0.8
 METHODS = ("POST", "GET", "PUT", "POST")
 PATHS = ("/safe/x", "/once/x", "/resume/x", "/stream/x")
 API_KEY = "key-of-hotel"
@@ -29,15 +30,17 @@
 class ClientOptions:
     """What a client calls and checks.
 
-    It takes a broken stream up ``resumptions`` times at most. With ``exact``, it checks
-    each byte of streams and goes on after the last complete event. ``undisturbed``
-    tells that endpoints alone suffer faults.
+    It takes a broken stream up ``resumptions`` times at most. If ``resume_at`` has any
+    gateways, it does so mostly at these, and begins streams at the others. With
+    ``exact``, it checks each byte of streams and goes on after the last complete event.
+    ``undisturbed`` tells that endpoints alone suffer faults.
     """
 
     paths: tuple[str, ...] = PATHS
     resumptions: int = 1
     exact: bool = False
     undisturbed: bool = False
+    resume_at: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +119,7 @@
             headers["Resumes"] = resumed.begun_by
             headers["Last-Event-Id"] = str(len(resumed.versions))
         body = bytearray()
-        url = f"http://{self.rng.choice(self.addresses)}{path}"
+        url = f"http://{self._choose_address(resumed)}{path}"
         received = await self._send(session, call, url, headers, body)
         stream = resumed or Stream(call, [])
         known_events = len(stream.versions)
@@ -129,6 +132,15 @@
         resumable = path.startswith("/resume") and has_rest
         return stream if resumable and not received.complete else None
 
+    def _choose_address(self, resumed: Stream | None) -> str:
+        """Returns the gateway for a call."""
+        resume_at = self.options.resume_at
+        if not resume_at:
+            return self.rng.choice(self.addresses)
+        if resumed is not None and self.rng.random() < RESUME_AT_FRACTION:
+            return self.rng.choice(resume_at)
+        return self.rng.choice([a for a in self.addresses if a not in resume_at])
+
     async def _send(
         self,
         session: aiohttp.ClientSession,
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -27,18 +27,19 @@
     checker: InvariantChecker,
     faults_enabled: list[bool],
     version: str,
+    behaviour_weights: tuple[tuple[str, int], ...] = BEHAVIOUR_WEIGHTS,
 ):
     """Returns a request handler that picks the behaviour for each request.
 
     ``version`` is that of the endpoint's software, which each event tells. The single
     element of ``faults_enabled`` is read at each request; while it is false, every
-    request is served.
+    request is served. Otherwise ``behaviour_weights`` has the kinds and their weights.
     """
 
     async def behave(request, writer) -> None:
         """Serves a request, or fails it in one of several ways."""
         call = request.headers["request-id"]
-        kinds, weights = zip(*BEHAVIOUR_WEIGHTS, strict=True)
+        kinds, weights = zip(*behaviour_weights, strict=True)
         kind = rng.choices(kinds, weights)[0] if faults_enabled[0] else "fine"
         if kind == "refuse":
             await standin.refusal()(request, writer)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -13,7 +13,7 @@
 
 from soak.checks import InvariantChecker
 from soak.clients import API_KEY, TOKENS_PER_EVENT
-from soak.endpoints import random_behaviour
+from soak.endpoints import BEHAVIOUR_WEIGHTS, random_behaviour
 from soak.proxy import Proxy
 from verbenagrade.platform.tests.conftest import configuration_document
 from verbenagrade.platform.tests.endpoint_standin import EndpointStandIn
@@ -36,10 +36,17 @@
 class SoakEnvironment:
     """Runs gateways as processes, with store and endpoints behind loopback proxies.
 
-    ``passes_resets`` is that of the proxies of endpoints.
+    ``versions`` are those of the endpoints, in turn, and ``passes_resets`` is that of
+    their proxies.
     """
 
-    def __init__(self, seed: int, passes_resets: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        versions: tuple[str, ...] = SOFTWARE_VERSIONS,
+        passes_resets: bool = False,
+    ) -> None:
+        self.versions = versions
         self.passes_resets = passes_resets
         self.rng = random.Random(seed)
         self.prepaid_tokens = SMALL_BUDGET_TOKENS if seed % 2 else LARGE_BUDGET_TOKENS
@@ -62,7 +69,7 @@
         await self.store.start()
         self.write_configuration()
         for number in range(ENDPOINTS):
-            version = SOFTWARE_VERSIONS[number % len(SOFTWARE_VERSIONS)]
+            version = self.versions[number % len(self.versions)]
             await self.add_endpoint(version, self.faults_enabled)
         for number in range(GATEWAYS):
             proxy = Proxy(self.store.address)
@@ -136,9 +143,16 @@
             await endpoint.stop()
         await self.store.stop()
 
-    async def add_endpoint(self, version: str, faults_enabled: list[bool]) -> int:
+    async def add_endpoint(
+        self,
+        version: str,
+        faults_enabled: list[bool],
+        behaviour_weights: tuple[tuple[str, int], ...] = BEHAVIOUR_WEIGHTS,
+    ) -> int:
         """Starts an endpoint, writes its entry and returns its number."""
-        behave = random_behaviour(self.rng, self.checker, faults_enabled, version)
+        behave = random_behaviour(
+            self.rng, self.checker, faults_enabled, version, behaviour_weights
+        )
         number = len(self.endpoints)
         endpoint = EndpointStandIn(f"i-{number}", [behave], software_version=version)
         await endpoint.start()
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,12 +14,14 @@
 from soak.environment import SoakEnvironment
 from soak.faults import inject_drills, inject_faults
 from soak.limits import play_limits
+from soak.rows import FIRST_VERSION, play_rows
 
 __all__ = [
     "SoakReport",
     "run_crash_seed",
     "run_end_seed",
     "run_limit_seed",
+    "run_row_seed",
     "run_seed",
 ]
 
@@ -126,6 +128,15 @@
     return await _run_play(play_ends, seed, seconds, environment)
 
 
+async def run_row_seed(seed: int, seconds: float) -> SoakReport:
+    """Runs gateways beside odd rows for ``seconds``, and then a release.
+
+    ``run_count`` is the number of runs at endpoints.
+    """
+    environment = SoakEnvironment(2 * seed, versions=(FIRST_VERSION,))
+    return await _run_play(play_rows, seed, seconds, environment)
+
+
 async def _run_play(
     play: Play,
     seed: int,
