--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -6,7 +6,7 @@
 from soak.checks import InvariantChecker
 from verbenagrade.platform.tests import endpoint_standin as standin
 
-__all__ = ["EVENTS_PER_STREAM", "random_behaviour"]
+__all__ = ["EVENTS_PER_STREAM", "EVENT_INTERVAL_S", "event_text", "random_behaviour"]
 
 EVENTS_PER_STREAM = 12
 EVENT_INTERVAL_S = 0.02
@@ -27,18 +27,19 @@
     checker: InvariantChecker,
     faults_enabled: list[bool],
     version: str,
+    behaviour_weights: tuple[tuple[str, int], ...] = BEHAVIOUR_WEIGHTS,
 ):
     """Returns a request handler that picks the behaviour for each request.
 
     ``version`` is that of the endpoint's software, which each event tells. The single
     element of ``faults_enabled`` is read at each request; while it is false, every
-    request is served.
+    request is served. Otherwise ``behaviour_weights`` has the kinds and their weights.
     """
 
     async def behave(request, writer) -> None:
         """Serves a request, or fails it in one of several ways."""
         call = request.headers["request-id"]
-        kinds, weights = zip(*BEHAVIOUR_WEIGHTS, strict=True)
+        kinds, weights = zip(*behaviour_weights, strict=True)
         kind = rng.choices(kinds, weights)[0] if faults_enabled[0] else "fine"
         if kind == "refuse":
             await standin.refusal()(request, writer)
@@ -67,5 +68,10 @@
         cut=last_event,
         half=last_event is not None,
         pause=EVENT_INTERVAL_S,
-        text=lambda number: f"id: {number}\ndata: {call} {version}\n\n".encode(),
+        text=lambda number: event_text(call, version, number),
     )
+
+
+def event_text(call: str, version: str, number: int) -> bytes:
+    """Returns an event of the stream of a call."""
+    return f"id: {number}\ndata: {call} {version}\n\n".encode()
