Read from the store at which version a stream began that is taken up

Cause: if a VM had seen no version but the default for as long as streams are taken up, it took the default for certain without asking the store. What it had seen counted also for times at which its view of the endpoints was outdated, so that missing news was a proof. No state of the VM can be one: a feed that brings nothing is quiet or cut off, the next endpoint may have registered after its last response, and a process that was suspended does not know.

Now every VM that did not serve the stream itself reads the record and the default, two reads, whatever it has seen; if the store does not respond to three tries (0.1 s apart, as a store that refuses does so without delay), the caller gets 503 as not run and comes back. What the store says counts for the time at which the caller came: a process that stands still between the response and its use counted that time as one without a change of the default.

A stream that is taken up while the store is away for all VMs is now refused except where it was served.

--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -4,9 +4,10 @@
 agree on the default through a row ``software/SERVICE`` of the fleet's table, which
 changes only when no endpoint of the version is left, so that no stream that began at it
 can go on anyway. Any other stream is recorded before its caller gets the first event.
-A VM that has no record of a stream reads the store, and knows that it began at the
-default, unless the default changed, or the store lost rows, within the time for which
-callers take streams up.
+A VM that did not serve a stream reads the store, and knows that one without a record
+began at the default, unless the default changed, or the store lost rows, within the
+time for which callers take streams up. Nothing but the store shows that: a VM that is
+cut off from it, or stands still, does not see which versions serve meanwhile.
 """
 
 import asyncio
@@ -36,8 +37,10 @@
     BegunStreams,
     DefaultVersion,
     RecordNeed,
+    StreamOrigin,
     most_common_version,
     record_need,
+    unrecorded_origin,
 )
 
 __all__ = ["ServiceView", "StreamVersions"]
@@ -45,7 +48,11 @@
 FIND_TIMEOUT_S = 0.4
 """Timeout of one try to read the record of a stream, in seconds."""
 
-FIND_TRIES = 2
+FIND_TRIES = 3
+FIND_PAUSE_S = 0.1
+"""Number of tries, and the pause between two in seconds. A store that takes too many
+requests at once says so without delay, so that tries without a pause would be lost."""
+
 STORE_WRITE_FRACTION = 0.25
 """Fraction of the writes that the store takes which records of all VMs may use."""
 
@@ -88,8 +95,7 @@
     """The default versions, and the streams that this VM began.
 
     ``defaults`` has the default of each service, ``row_versions`` the version of its
-    row. ``mixed_at`` is when a service was last seen with endpoints of another version
-    than its default. ``allowance`` is the number of records that this VM may write now.
+    row. ``allowance`` is the number of records that this VM may write now.
     """
 
     def __init__(
@@ -114,8 +120,6 @@
         self.begun = BegunStreams()
         self.defaults: dict[str, DefaultVersion] = {}
         self.row_versions: dict[str, int] = {}
-        self.started_at = clock()
-        self.mixed_at: dict[str, float] = {}
         self.allowance = MIN_BURST_RECORDS
         self.allowance_at = clock()
 
@@ -163,27 +167,26 @@
         self.allowance -= 1.0
         await self.records.record(call_id, number, version)
 
-    async def find(self, service: str, call_id: str) -> str | None:
-        """Returns the version at which a stream began, ``None`` if that is not known.
+    async def find(self, service: str, call_id: str, asked_at: float) -> StreamOrigin:
+        """Returns the version at which a stream began.
 
-        ``call_id`` is the call that brought its first event.
+        ``call_id`` is the call that brought its first event. The caller took the stream
+        up at ``asked_at``, in seconds. What the store says counts for that time, for
+        however long this process stood still since.
         """
         version = self.begun.find(call_id)
-        if version is None:
-            version = self._only_version(service)
-        for _ in range(FIND_TRIES):
-            if version is not None:
-                break
+        if version is not None:
+            return StreamOrigin(version, "served here")
+        for number in range(FIND_TRIES):
+            if number:
+                await asyncio.sleep(FIND_PAUSE_S)
             try:
                 async with asyncio.timeout(FIND_TIMEOUT_S):
-                    version = await self._read_version(service, call_id)
-                break
+                    return await self._read_origin(service, call_id, asked_at)
             except (PlatformError, TimeoutError) as error:
                 reason = str(error) or "no response in time"
                 log_event(Event.STREAM_VERSION_UNREAD, call=call_id, reason=reason)
-        if version is not None:
-            self.begun.record(call_id, version)
-        return version
+        return StreamOrigin(None, "the store did not respond")
 
     async def maintain(self, services: Iterable[str]) -> None:
         """Replaces defaults that have no endpoints, and removes old records.
@@ -192,7 +195,6 @@
         """
         now = self.clock()
         for service in services:
-            self._watch_versions(service, now)
             update = self._next_default(service, now)
             if update is not None and self._is_writer():
                 await self._write_default(service, update)
@@ -201,38 +203,22 @@
     def _is_writer(self) -> bool:
         return self.random.random() * self.view.vm_count() < EXPECTED_WRITERS
 
-    def _watch_versions(self, service: str, now: float) -> None:
-        versions = {entry.software_version for entry in self.view.entries(service)}
-        default = self.defaults.get(service)
-        if default is not None and versions and versions != {default.version}:
-            self.mixed_at[service] = now
-
-    def _only_version(self, service: str) -> str | None:
-        """Returns the default if no other version has served for long."""
-        now, life_s = self.clock(), self.view.stream_life_s()
-        default = self.defaults.get(service)
-        if default is None or not default.is_settled(now, life_s):
-            return None
-        self._watch_versions(service, now)
-        watched_from = self.mixed_at.get(service, self.started_at)
-        return default.version if now - watched_from >= life_s else None
-
-    async def _read_version(self, service: str, call_id: str) -> str | None:
+    async def _read_origin(
+        self, service: str, call_id: str, asked_at: float
+    ) -> StreamOrigin:
         recorded, rows = await asyncio.gather(
             self.records.find(call_id), self.table.read((_key(service),))
         )
         if recorded is not None:
-            return recorded
+            return StreamOrigin(recorded, "recorded")
         for row in filter(None, rows):
             self._apply_row(service, row)
-        now, life_s = self.clock(), self.view.stream_life_s()
-        changed_at = self.eras.changed_at
-        if changed_at is not None and now - changed_at < life_s:
-            return None
-        default = self.defaults.get(service)
-        if default is None or not default.is_settled(now, life_s):
-            return None
-        return default.version
+        return unrecorded_origin(
+            self.defaults.get(service),
+            asked_at,
+            self.view.stream_life_s(),
+            self.eras.changed_at,
+        )
 
     def _next_default(self, service: str, now: float) -> DefaultVersion | None:
         """Returns the default whose row has to be written, ``None`` if none has.
--- /dev/null
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -0,0 +1,209 @@
+"""Some VMs and a store with virtual time, to test how streams keep their versions."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import suppress
+
+from verbenagrade.coordination.permits import StoreTime
+from verbenagrade.coordination.ports import Changes, CommitResult, PlatformStore, Row
+from verbenagrade.coordination.store_eras import StoreEras
+from verbenagrade.coordination.stream_records import StreamRecords
+from verbenagrade.coordination.stream_versions import ServiceView, StreamVersions
+from verbenagrade.exceptions import PlatformError
+from verbenagrade.state.directory import EndpointEntry
+from verbenagrade.state.stream_versions import RecordNeed
+from verbenagrade.tests.virtual_time import VirtualTimeLoop
+
+STREAM_LIFE_S = 24.0
+STORE_CLOCK_S = 5000.0
+SERVICE = "pool"
+
+
+class Store:
+    """Rows in memory.
+
+    While ``down``, all calls fail, and those of a VM while it is cut off. If ``late``
+    is a list, transactions without a response are added to it, and can be committed
+    later with ``write``. ``before_read`` is called before each read of rows.
+    """
+
+    def __init__(self, clock) -> None:
+        self.clock = clock
+        self.rows: dict[str, Row] = {}
+        self.version = 0
+        self.down = False
+        self.late: list | None = None
+        self.commits = 0
+        self.reads = 0
+        self.before_read: Callable[[], None] = lambda: None
+
+    def port(self, cut_off: Callable[[], bool]) -> PlatformStore:
+        def check() -> None:
+            if self.down or cut_off():
+                raise PlatformError("no response")
+
+        async def read(keys):
+            check()
+            self.reads += 1
+            self.before_read()
+            return tuple(self.rows.get(key) for key in keys)
+
+        async def scan(prefix):
+            check()
+            self.reads += 1
+            keys = sorted(key for key in self.rows if key.startswith(prefix))
+            return tuple(self.rows[key] for key in keys)
+
+        async def commit(checks, writes):
+            if self.late is not None:
+                self.late.append(writes)
+                raise PlatformError("no response")
+            check()
+            self.commits += 1
+            present = [self.rows[c.key] for c in checks if c.key in self.rows]
+            versions = {row.key: row.version for row in present}
+            now_s = self.clock() + STORE_CLOCK_S
+            if any(versions.get(c.key, 0) != c.version for c in checks):
+                return CommitResult(False, self.version, tuple(present), now_s)
+            self.write(writes)
+            return CommitResult(True, self.version, (), now_s)
+
+        return PlatformStore(read, scan, commit, None, None)
+
+    def write(self, writes) -> None:
+        self.version += 1
+        for write in writes:
+            if write.value is None:
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = Row(write.key, self.version, write.value)
+
+
+class Vm:
+    """One VM's view; ``follow`` brings it up to date with the store.
+
+    ``cut_off_at`` is since when the store turns the VM away, ``None`` if it does not.
+    Until it serves it again, the VM knows the endpoints of that time. While it stands
+    still, it reaches the store, but does not know that it missed changes.
+    """
+
+    def __init__(self, fleet, number) -> None:
+        self.fleet = fleet
+        self.cut_off_at: float | None = None
+        self.still = False
+        self.known_entries: list[EndpointEntry] = []
+        self.eras = StoreEras(fleet.clock)
+        time = StoreTime(lambda: STORE_CLOCK_S, lambda _time_s: None)
+        rng = random.Random(number)
+        table = fleet.store.port(lambda: self.cut_off_at is not None)
+        self.records = StreamRecords(
+            table, fleet.clock, time, rng, lambda: len(fleet.vms)
+        )
+        view = ServiceView(
+            entries=lambda _service: self.entries(),
+            ready=lambda _service: [e for e in self.entries() if not e.leaving],
+            stream_life_s=lambda: STREAM_LIFE_S,
+            directory_age_s=self.age_s,
+            vm_count=lambda: 1,
+        )
+        self.versions = StreamVersions(
+            table, self.records, fleet.clock, time, self.eras, view, 800, rng
+        )
+
+    def cut_off(self) -> None:
+        self.cut_off_at = self.fleet.clock()
+        self.known_entries = self.fleet.entries
+
+    def stand_still(self) -> None:
+        self.still = True
+        self.known_entries = self.fleet.entries
+
+    def recover(self) -> None:
+        """Ends that the VM is cut off or stands still."""
+        self.cut_off_at, self.still = None, False
+        self.follow()
+
+    @property
+    def outdated(self) -> bool:
+        return self.still or self.cut_off_at is not None
+
+    def entries(self) -> list[EndpointEntry]:
+        return self.known_entries if self.outdated else self.fleet.entries
+
+    def age_s(self) -> float:
+        """Returns how outdated what the VM knows may be, in seconds."""
+        return 0.0 if self.cut_off_at is None else self.fleet.clock() - self.cut_off_at
+
+    def follow(self, complete=False) -> None:
+        if self.outdated:
+            return
+        store = self.fleet.store
+        rows = tuple(r for k, r in store.rows.items() if k.startswith("fleet//"))
+        self.versions.apply(Changes(store.version, rows, complete=complete))
+
+    async def begin(self, call, version, number=1) -> None:
+        """Begins a stream as a gateway does: recorded before its first event."""
+        need = self.versions.need(SERVICE, version)
+        if need is not RecordNeed.NONE:
+            await self.versions.record(call, number, version)
+        self.versions.begun.record(call, version)
+
+    async def find(self, call) -> str | None:
+        """Returns the version at which a stream that is taken up now goes on."""
+        asked_at = self.fleet.clock()
+        return (await self.versions.find(SERVICE, call, asked_at)).version
+
+    async def maintain(self) -> None:
+        with suppress(PlatformError):
+            await self.versions.maintain((SERVICE,))
+
+
+class Fleet:
+    def __init__(self, clock) -> None:
+        self.clock = clock
+        self.store = Store(clock)
+        self.entries: list[EndpointEntry] = []
+        self.vms: list[Vm] = []
+
+    def serve(self, *versions) -> None:
+        """Replaces all endpoints."""
+        self.entries = [
+            EndpointEntry(f"i-{n}", SERVICE, "10.0.0.1:1", "a", 8, software_version=v)
+            for n, v in enumerate(versions)
+        ]
+
+    async def add(self) -> Vm:
+        vm = Vm(self, len(self.vms))
+        self.vms.append(vm)
+        vm.follow()
+        return vm
+
+    async def maintain(self) -> None:
+        for vm in self.vms:
+            await vm.maintain()
+        for vm in self.vms:
+            vm.follow()
+
+
+def play(scenario: Callable[..., Awaitable[None]]) -> None:
+    """Runs a scenario with a fleet of two VMs, whose endpoints ran v1 for long."""
+
+    async def run() -> None:
+        fleet = Fleet(asyncio.get_running_loop().time)
+        fleet.serve("v1", "v1")
+        for _ in range(2):
+            await fleet.add()
+        await fleet.maintain()
+        await asyncio.sleep(2 * STREAM_LIFE_S)
+        await scenario(fleet, *fleet.vms)
+
+    run_at_virtual_time(run())
+
+
+def run_at_virtual_time(work: Coroutine[None, None, None]) -> None:
+    loop = VirtualTimeLoop()
+    try:
+        loop.run_until_complete(work)
+    finally:
+        loop.close()
--- a/verbenagrade/platform/tests/store_standin.py
+++ b/verbenagrade/platform/tests/store_standin.py
@@ -22,6 +22,7 @@
     sending the body of a response that contains rows, in seconds; if ``slow_table``
     is set, only of that table. ``era`` is told in all responses unless it is ``None``.
     ``before_second_request`` is called once, when the second request arrives.
+    Requests to the addresses in ``turned_away`` get 503, also those that wait.
     """
 
     def __init__(self) -> None:
@@ -39,6 +40,7 @@
         self.slow_table = ""
         self.era: object = None
         self.before_second_request = None
+        self.turned_away: set[str] = set()
         self.copy = None
         self.request_count = 0
         self.changed = asyncio.Event()
@@ -58,6 +60,12 @@
         await site.start()
         self.address = f"127.0.0.1:{self.runner.addresses[0][1]}"
 
+    async def open_address(self) -> str:
+        """Returns one more address, at which the store can turn a VM away."""
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        return f"127.0.0.1:{self.runner.addresses[-1][1]}"
+
     async def stop(self) -> None:
         await self.runner.cleanup()
 
@@ -122,7 +130,12 @@
             await asyncio.sleep(60)
         if self.status:
             return web.Response(status=self.status)
+        turned_away = web.Response(status=503)
+        if request.host in self.turned_away:
+            return turned_away
         response = await handler(request)
+        if request.host in self.turned_away and request.path == "/rows-feed":
+            return turned_away
         if self.era is not None and not response.prepared:
             response.headers["Store-Era"] = str(self.era)
         if request.path == "/rows-tx" and self._loses_response():
--- a/verbenagrade/platform/tests/test_software_versions.py
+++ b/verbenagrade/platform/tests/test_software_versions.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from verbenagrade.platform.tests.conftest import configuration_document
 from verbenagrade.platform.tests.versioned_streams import (
     EVENTS,
@@ -11,9 +13,11 @@
     versioned,
     versions_in,
 )
+from verbenagrade.transport.gateway import core as gateway_core
 
 STREAMS = 12
 LONG_AGO_S = -1e6
+SHORT_LIFE_S = 0.5
 
 
 async def start(testbed, *versions, default=None) -> None:
@@ -36,6 +40,13 @@
     return handle
 
 
+@pytest.fixture
+def short_streams(monkeypatch):
+    """Has callers take streams up for a short time only."""
+    monkeypatch.setattr(gateway_core, "MIN_STREAM_LIFE_S", SHORT_LIFE_S)
+    monkeypatch.setattr(gateway_core, "STREAM_LIFE_FACTOR", 0.0)
+
+
 async def begin_streams(testbed, gateway, name="begun") -> dict[str, list[str]]:
     """Begins streams at a gateway; returns the version of each by its call."""
     calls = [f"{name}-{number}" for number in range(STREAMS)]
@@ -133,3 +144,27 @@
     assert len(testbed.endpoints[0].requests) + len(
         testbed.endpoints[1].requests
     ) == len(begun)
+
+
+# Guards against a VM that the store turns away during a release, at which streams of
+# the new version go on at the default, the only one that this VM has seen for long.
+async def test_stream_taken_up_at_a_vm_that_is_turned_away_keeps_its_version(
+    testbed, short_streams
+):
+    await start(testbed, "v1", "v1", default="v1")
+    address = await testbed.store.open_address()
+    await testbed.start_another(address)
+    turned_away = testbed.others[0]
+    await asyncio.sleep(2 * SHORT_LIFE_S)
+    testbed.store.turned_away.add(address)
+    await add_versions(testbed, "v2", "v2", "v2")
+    await testbed.wait_until_ready()
+    begun = await begin_streams(testbed, testbed.gateway)
+    assert ["v2"] in begun.values()
+    for call in begun:
+        assert await resume_stream(testbed, call, turned_away) == []
+    testbed.store.turned_away.clear()
+    await testbed.wait_until(
+        lambda: len(turned_away.core.directory.entries) == len(testbed.endpoints)
+    )
+    await check_resumptions(testbed, begun, turned_away)
--- a/verbenagrade/state/stream_versions.py
+++ b/verbenagrade/state/stream_versions.py
@@ -2,7 +2,8 @@
 
 What two versions of an endpoint's software write does not fit together, so a stream may
 go on only at the version that began it. One version of each service is its default: a
-stream of which no record says otherwise began at it.
+stream of which no record says otherwise began at it. Only the store can tell that there
+is no record: what a VM has not heard of is no proof.
 """
 
 from collections import Counter, OrderedDict
@@ -16,8 +17,10 @@
     "BegunStreams",
     "DefaultVersion",
     "RecordNeed",
+    "StreamOrigin",
     "most_common_version",
     "record_need",
+    "unrecorded_origin",
 ]
 
 MAX_BEGUN_STREAMS = 20_000
@@ -81,6 +84,41 @@
     return RecordNeed.OPTIONAL
 
 
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """The version at which a stream began, ``None`` if it is not known, and why."""
+
+    version: str | None
+    reason: str
+
+
+def unrecorded_origin(
+    default: DefaultVersion | None,
+    asked_at: float,
+    stream_life_s: float,
+    rows_lost_at: float | None,
+) -> StreamOrigin:
+    """Returns where a stream began of which the store has no record.
+
+    ``default`` is the one that the store had after ``asked_at``, the time at which the
+    caller took the stream up, and ``rows_lost_at`` the last time at which the store
+    lost rows.
+
+    >>> default = DefaultVersion("v1", since=0.0)
+    >>> unrecorded_origin(default, 60.0, 24.0, None)
+    StreamOrigin(version='v1', reason='default')
+    >>> unrecorded_origin(default, 10.0, 24.0, None).version is None
+    True
+    """
+    if rows_lost_at is not None and asked_at - rows_lost_at < stream_life_s:
+        return StreamOrigin(None, "the store lost rows a short time ago")
+    if default is None:
+        return StreamOrigin(None, "the store has no default that can be read")
+    if not default.is_settled(asked_at, stream_life_s):
+        return StreamOrigin(None, "the default changed a short time ago")
+    return StreamOrigin(default.version, "default")
+
+
 def most_common_version(entries: Iterable[EndpointEntry]) -> str | None:
     """Returns the version of most endpoints, ``None`` if there are none."""
     counts = Counter(entry.software_version for entry in entries)
--- a/verbenagrade/transport/gateway/versions.py
+++ b/verbenagrade/transport/gateway/versions.py
@@ -32,17 +32,18 @@
     if call.kind is not CallKind.RESUMABLE_STREAM or not call.head.resume_after:
         return True
     begun_by = call.head.resumed_call or call.head.call_id
-    version = await core.versions.find(call.service, begun_by)
+    origin = await core.versions.find(call.service, begun_by, call.started_at)
     log_event(
         Event.STREAM_VERSION_FOUND,
         call=call.head.call_id,
         resumes=begun_by,
-        version=version,
+        version=origin.version,
+        reason=origin.reason,
     )
-    if version is None:
+    if origin.version is None:
         core.metrics.stream_versions_unknown.inc({})
         return False
-    progress.stream_version = version
+    progress.stream_version = origin.version
     return True
 
 
