Take an unreadable record for an unknown version, and keep records

What callers would see: a stream that is taken up goes on at another software version. A record whose row can't be decoded was passed over, and the stream went on at the version of an earlier attempt, or, without one, at the default; the next look through its partition removed the row at once.

Two more ways to the same: a VM that had not learned the store's time yet dated its records by its own clock, so that others took them for old ones and removed them, or removed those of others itself. And records were removed after 90 s, also if callers take streams up for longer because a route has a timeout of more than 45 s.

Without the store's time nothing is recorded, so that the first event waits or another endpoint takes the stream, and nothing is removed. Rows stay for twice the time in which streams are taken up, at least 90 s.

--- a/verbenagrade/coordination/stream_records.py
+++ b/verbenagrade/coordination/stream_records.py
@@ -17,7 +17,7 @@
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Clock, PlatformStore, Row, Write
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PlatformError
+from verbenagrade.exceptions import PlatformError, UnreadableRowError
 
 __all__ = ["STREAM_TABLE", "StreamRecords"]
 
@@ -32,7 +32,10 @@
 
 RETRY_S = 0.1
 ROW_LIFE_S = 90.0
-"""Age in seconds at which rows are removed, longer than callers take streams up."""
+ROW_LIFE_FACTOR = 2.0
+"""Age in seconds at which rows are removed, or if that is longer, a multiple of the
+longest time in which callers take streams up, as a VM with an older configuration may
+know a shorter one."""
 
 SWEEP_INTERVAL_S = 30.0
 """Time in seconds in which some VM looks through each partition for old rows. They are
@@ -62,7 +65,8 @@
 
     ``away`` is true from a failed transaction until the next call that succeeds.
     ``pending`` and ``writing`` have the rows that wait, and the partitions that are
-    written.
+    written. ``unreadable`` has the keys of rows that can't be decoded, and since when
+    this VM knows each, in seconds.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         self.away = False
         self.pending: dict[int, list[PendingRow]] = {}
         self.writing: dict[int, asyncio.Task[None]] = {}
+        self.unreadable: dict[str, float] = {}
 
     async def record(self, call_id: str, number: int, version: str) -> None:
         """Records the version of a call's attempt; returns once that is certain."""
@@ -98,24 +103,30 @@
     async def find(self, call_id: str) -> str | None:
         """Returns the version that is recorded for a stream, ``None`` if none is.
 
-        Raises ``PlatformError`` if the store does not respond.
+        Raises ``UnreadableRowError`` if the row that counts can't be decoded, and
+        another ``PlatformError`` if the store does not respond.
         """
         rows = await self.table.scan(_prefix(call_id))
-        for row in reversed(rows):
-            content = _decode(row)
-            if content is not None:
-                return content.version
-        return None
-
-    async def maintain(self) -> None:
-        """Removes old rows; raises ``PlatformError`` if the store does not respond."""
+        return _decode(rows[-1]).version if rows else None
+
+    async def maintain(self, stream_life_s: float) -> None:
+        """Removes old rows.
+
+        ``stream_life_s`` is the longest time in which callers take streams up. Raises
+        ``PlatformError`` if the store does not respond.
+        """
         sweeps = PARTS / (SWEEP_INTERVAL_S * max(1, self.vm_count()))
         if self.away or self.random.random() < sweeps:
-            await self._sweep(self.random.randrange(PARTS))
+            part = self.random.randrange(PARTS)
+            await self._sweep(part, max(ROW_LIFE_S, ROW_LIFE_FACTOR * stream_life_s))
             self.away = False
 
     async def _write(self, key: str, part: int, version: str) -> None:
-        at_s = self.clock() + self._offset_s()
+        offset_s = self.time.offset_s()
+        if offset_s is None:
+            # Other VMs would take the row for an old one and remove it.
+            raise PlatformError("the store's time is not known yet; retry")
+        at_s = self.clock() + offset_s
         value = msgspec.json.encode(StreamRow(version, at_s))
         written = asyncio.get_running_loop().create_future()
         self.pending.setdefault(part, []).append(PendingRow(key, value, written))
@@ -157,23 +168,35 @@
             else:
                 row.written.set_exception(failure)
 
-    async def _sweep(self, part: int) -> None:
+    async def _sweep(self, part: int, row_life_s: float) -> None:
         """Removes the old rows of a partition, whichever VM has written them."""
-        rows = await self.table.scan(f"{STREAM_TABLE}/{part}/")
-        due = self.clock() + self._offset_s() - ROW_LIFE_S
-        contents = {row.key: _decode(row) for row in rows}
-        await self._remove(
-            [key for key, row in contents.items() if row is None or row.at_s <= due]
-        )
+        offset_s = self.time.offset_s()
+        if offset_s is None:
+            return
+        prefix = f"{STREAM_TABLE}/{part}/"
+        rows = await self.table.scan(prefix)
+        now = self.clock()
+        old = [row.key for row in rows if self._age_s(row, now, offset_s) >= row_life_s]
+        await self._remove(old)
+        present = {row.key for row in rows}.difference(old)
+        for key in [key for key in self.unreadable if key.startswith(prefix)]:
+            if key not in present:
+                del self.unreadable[key]
+
+    def _age_s(self, row: Row, now: float, offset_s: float) -> float:
+        """Returns the age of a row, or if it can't be decoded, since it was seen."""
+        try:
+            return now + offset_s - _decode(row).at_s
+        except UnreadableRowError as error:
+            if row.key not in self.unreadable:
+                log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
+            return now - self.unreadable.setdefault(row.key, now)
 
     async def _remove(self, keys: list[str]) -> None:
         for start in range(0, len(keys), MAX_ROWS_PER_COMMIT):
             chunk = keys[start : start + MAX_ROWS_PER_COMMIT]
             await self.table.commit((), tuple(Write(key, None) for key in chunk))
 
-    def _offset_s(self) -> float:
-        return self.time.offset_s() or 0.0
-
 
 def _part(call_id: str) -> int:
     return xxhash.xxh3_64_intdigest(call_id.encode()) % PARTS
@@ -190,9 +213,11 @@
     return f"{STREAM_TABLE}/{_part(call_id)}/{name}/"
 
 
-def _decode(row: Row) -> StreamRow | None:
+def _decode(row: Row) -> StreamRow:
+    """Raises ``UnreadableRowError`` if the row can't be decoded."""
     try:
         return msgspec.json.decode(row.value, type=StreamRow)
     except msgspec.DecodeError as error:
-        log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
-        return None
+        raise UnreadableRowError(
+            f"{row.key}: {error}; the row is removed when it is old"
+        ) from error
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -31,7 +31,7 @@
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.coordination.stream_records import StreamRecords
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PlatformError
+from verbenagrade.exceptions import PlatformError, UnreadableRowError
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.stream_versions import (
     BegunStreams,
@@ -183,6 +183,9 @@
             try:
                 async with asyncio.timeout(FIND_TIMEOUT_S):
                     return await self._read_origin(service, call_id, asked_at)
+            except UnreadableRowError as error:
+                log_event(Event.STREAM_VERSION_UNREAD, call=call_id, reason=str(error))
+                return StreamOrigin(None, "its record can't be read")
             except (PlatformError, TimeoutError) as error:
                 reason = str(error) or "no response in time"
                 log_event(Event.STREAM_VERSION_UNREAD, call=call_id, reason=reason)
@@ -198,7 +201,7 @@
             update = self._next_default(service, now)
             if update is not None and self._is_writer():
                 await self._write_default(service, update)
-        await self.records.maintain()
+        await self.records.maintain(self.view.stream_life_s())
 
     def _is_writer(self) -> bool:
         return self.random.random() * self.view.vm_count() < EXPECTED_WRITERS
--- a/verbenagrade/coordination/tests/test_unproven_versions.py
+++ b/verbenagrade/coordination/tests/test_unproven_versions.py
@@ -4,7 +4,21 @@
 
 import pytest
 
-from verbenagrade.coordination.tests.version_fleet import STREAM_LIFE_S, play
+from verbenagrade.coordination.ports import Write
+from verbenagrade.coordination.stream_records import ROW_LIFE_S
+from verbenagrade.coordination.tests.version_fleet import (
+    STORE_CLOCK_S,
+    STREAM_LIFE_S,
+    play,
+)
+
+SWEEPS = 2000
+"""Number of rounds in which each partition is looked through, almost certainly."""
+
+
+async def sweep_all(vm) -> None:
+    for _ in range(SWEEPS):
+        await vm.versions.maintain(())
 
 
 # Guards against a VM that the store turns away, which has seen no other version and
@@ -68,3 +82,84 @@
         assert fleet.store.reads == reads + 2
 
     play(scenario)
+
+
+# Guards against a record that can't be read and is passed over: the stream then goes on
+# at the version of an earlier attempt, or at the default.
+@pytest.mark.parametrize("earlier", [(), ("v3",)])
+def test_version_of_an_unreadable_record_is_not_known(earlier):
+    async def scenario(fleet, first, second):
+        fleet.serve("v1", "v2", "v3")
+        versions = (*earlier, "v2")
+        for number, version in enumerate(versions, start=1):
+            await first.begin("a", version, number)
+        key = max(key for key in fleet.store.rows if key.startswith("streams/"))
+        fleet.store.write((Write(key, b"\xff"),))
+        assert await second.find("a") is None
+        for _ in range(int(STREAM_LIFE_S)):
+            await asyncio.sleep(1.0)
+            await fleet.maintain()
+        assert await second.find("a") is None
+
+    play(scenario)
+
+
+def test_unreadable_record_is_removed_in_the_end():
+    async def scenario(fleet, first, _second):
+        fleet.serve("v1", "v2")
+        await first.begin("a", "v2")
+        (key,) = (key for key in fleet.store.rows if key.startswith("streams/"))
+        fleet.store.write((Write(key, b"\xff"),))
+        for _ in range(int(6 * ROW_LIFE_S)):
+            await asyncio.sleep(1.0)
+            await fleet.maintain()
+        assert key not in fleet.store.rows
+        assert not first.records.unreadable
+
+    play(scenario)
+
+
+# Guards against a VM that has not learned the store's time: others take its records for
+# old ones and remove them.
+def test_record_waits_until_the_stores_time_is_known():
+    async def scenario(fleet, first, second):
+        fleet.serve("v1", "v2")
+        first.store_time_offset_s = None
+        begun = asyncio.create_task(first.begin("a", "v2"))
+        await asyncio.sleep(1.0)
+        await sweep_all(second)
+        assert not begun.done()
+        first.store_time_offset_s = fleet.store.time_offset_s
+        await begun
+        await sweep_all(second)
+        assert await second.find("a") == "v2"
+
+    play(scenario)
+
+
+# Guards against a VM that has not learned the store's time, and removes the records of
+# other VMs as if they were old.
+def test_without_the_stores_time_no_record_is_removed():
+    async def scenario(fleet, first, second):
+        fleet.store.time_offset_s = first.store_time_offset_s = -STORE_CLOCK_S
+        second.store_time_offset_s = None
+        fleet.serve("v1", "v2")
+        await first.begin("a", "v2")
+        await sweep_all(second)
+        assert await second.find("a") == "v2"
+
+    play(scenario)
+
+
+# Guards against records that are removed while callers still take the streams up,
+# because a route has a long timeout.
+def test_records_stay_as_long_as_callers_take_streams_up():
+    async def scenario(fleet, first, second):
+        fleet.stream_life_s = 4 * ROW_LIFE_S
+        fleet.serve("v1", "v2")
+        await first.begin("a", "v2")
+        await asyncio.sleep(2 * ROW_LIFE_S)
+        await sweep_all(second)
+        assert await second.find("a") == "v2"
+
+    play(scenario)
--- a/verbenagrade/coordination/tests/version_fleet.py
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -35,6 +35,7 @@
         self.down = False
         self.late: list | None = None
         self.commits = 0
+        self.time_offset_s = STORE_CLOCK_S
         self.reads = 0
         self.before_read: Callable[[], None] = lambda: None
 
@@ -63,7 +64,7 @@
             self.commits += 1
             present = [self.rows[c.key] for c in checks if c.key in self.rows]
             versions = {row.key: row.version for row in present}
-            now_s = self.clock() + STORE_CLOCK_S
+            now_s = self.clock() + self.time_offset_s
             if any(versions.get(c.key, 0) != c.version for c in checks):
                 return CommitResult(False, self.version, tuple(present), now_s)
             self.write(writes)
@@ -94,7 +95,8 @@
         self.still = False
         self.known_entries: list[EndpointEntry] = []
         self.eras = StoreEras(fleet.clock)
-        time = StoreTime(lambda: STORE_CLOCK_S, lambda _time_s: None)
+        self.store_time_offset_s: float | None = STORE_CLOCK_S
+        time = StoreTime(lambda: self.store_time_offset_s, lambda _time_s: None)
         rng = random.Random(number)
         table = fleet.store.port(lambda: self.cut_off_at is not None)
         self.records = StreamRecords(
@@ -103,7 +105,7 @@
         view = ServiceView(
             entries=lambda _service: self.entries(),
             ready=lambda _service: [e for e in self.entries() if not e.leaving],
-            stream_life_s=lambda: STREAM_LIFE_S,
+            stream_life_s=lambda: fleet.stream_life_s,
             directory_age_s=self.age_s,
             vm_count=lambda: 1,
         )
@@ -163,6 +165,7 @@
     def __init__(self, clock) -> None:
         self.clock = clock
         self.store = Store(clock)
+        self.stream_life_s = STREAM_LIFE_S
         self.entries: list[EndpointEntry] = []
         self.vms: list[Vm] = []
 
