Take the default as the store has it, not an older or dated-back one

What callers would see: a stream without a record goes on at a version that was not the default when it began. Five ways, each with a test that fails on the parent:

- The store has no row of the default, or one that can't be decoded, and the VM took the one that it remembered ("assert 'v1' is None", twice).
The stream's version is unknown now, and the VMs write the row again, in the second case too.
- A response of the feed that had been on its way for longer than a read put the replaced default back ("assert 'v1' == 'v2'"), and streams at it were not recorded.
The row with the higher version stays; after a new era of the store all are read anew.
- A VM whose clock had stood still dated the new default back, so that it was settled at once ("assert 'v2' is None").
A VM that knew another default dates the new one not before it last heard from the feed.
- The first default of a service counted for streams from before it was written if the VM knew endpoints of one version at that moment, also if it had seen others ("assert 'v1' is None").

The defaults have a module of their own now, default_versions.py.

--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -12,38 +12,24 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable
 
-import msgspec
-
-from verbenagrade.coordination.crash_rows import split_key
-from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
+from verbenagrade.coordination.default_versions import DefaultVersions, ServiceView
 from verbenagrade.coordination.permits import StoreTime
-from verbenagrade.coordination.ports import (
-    Changes,
-    Check,
-    Clock,
-    PlatformStore,
-    Row,
-    Write,
-)
+from verbenagrade.coordination.ports import Changes, Clock, PlatformStore
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.coordination.stream_records import StreamRecords
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError, UnreadableRowError
-from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.stream_versions import (
     BegunStreams,
-    DefaultVersion,
     RecordNeed,
     StreamOrigin,
-    most_common_version,
     record_need,
     unrecorded_origin,
 )
 
-__all__ = ["ServiceView", "StreamVersions"]
+__all__ = ["StreamVersions"]
 
 FIND_TIMEOUT_S = 0.4
 """Timeout of one try to read the record of a stream, in seconds."""
@@ -57,45 +43,12 @@
 """Fraction of the writes that the store takes which records of all VMs may use."""
 
 MIN_BURST_RECORDS = 4.0
-LONG_AGO_S = 1e6
-ABSENT = 0
-"""Version of a row that does not exist."""
-
-MAX_DIRECTORY_AGE_S = 1.0
-"""Age of the known endpoints, in seconds, above which no default is replaced."""
-
-EXPECTED_WRITERS = 2.0
-"""Expected number of VMs that write the row of a default in each round."""
-
-
-class DefaultRow(msgspec.Struct, frozen=True):
-    """A default version, and since when it is one on the store's clock, in seconds."""
-
-    version: str
-    since_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceView:
-    """What versions depend on.
-
-    ``entries`` returns the known endpoints of a service, ``ready`` those that take new
-    calls, and ``stream_life_s`` the longest time in which callers take streams up, in
-    seconds. ``directory_age_s`` tells how outdated the endpoints may be.
-    """
-
-    entries: Callable[[str], Iterable[EndpointEntry]]
-    ready: Callable[[str], Iterable[EndpointEntry]]
-    stream_life_s: Callable[[], float]
-    directory_age_s: Callable[[], float]
-    vm_count: Callable[[], int]
 
 
 class StreamVersions:
     """The default versions, and the streams that this VM began.
 
-    ``defaults`` has the default of each service, ``row_versions`` the version of its
-    row. ``allowance`` is the number of records that this VM may write now.
+    ``allowance`` is the number of records that this VM may write now.
     """
 
     def __init__(
@@ -109,17 +62,13 @@
         store_writes_per_s: float,
         rng: random.Random,
     ) -> None:
-        self.random = rng
-        self.table = table
         self.records = records
         self.clock = clock
-        self.time = time
         self.eras = eras
         self.view = view
         self.store_writes_per_s = store_writes_per_s
         self.begun = BegunStreams()
-        self.defaults: dict[str, DefaultVersion] = {}
-        self.row_versions: dict[str, int] = {}
+        self.defaults = DefaultVersions(table, clock, time, view, rng)
         self.allowance = MIN_BURST_RECORDS
         self.allowance_at = clock()
 
@@ -128,21 +77,17 @@
 
         ``time`` must have learned the store's time from them before.
         """
-        if changes.complete:
-            self.enter_era()
-        for row in changes.rows:
-            kind, *names = split_key(row.key, FLEET_TABLE)
-            if kind == "software":
-                self._apply_row("/".join(names), row)
+        self.defaults.apply(changes)
 
     def enter_era(self) -> None:
         """Has the defaults written again after the store came back from a copy."""
-        self.row_versions = dict.fromkeys(self.row_versions, ABSENT)
+        self.defaults.enter_era()
 
     def need(self, service: str, version: str) -> RecordNeed:
         """Returns whether a stream that begins at a version has to be recorded."""
+        self.defaults.watch(service)
         return record_need(
-            self.defaults.get(service),
+            self.defaults.known.get(service),
             version,
             frozenset(entry.software_version for entry in self.view.ready(service)),
             self.clock(),
@@ -196,83 +141,18 @@
 
         Raises ``PlatformError`` if the store does not respond.
         """
-        now = self.clock()
         for service in services:
-            update = self._next_default(service, now)
-            if update is not None and self._is_writer():
-                await self._write_default(service, update)
+            await self.defaults.maintain(service)
         await self.records.maintain(self.view.stream_life_s())
 
-    def _is_writer(self) -> bool:
-        return self.random.random() * self.view.vm_count() < EXPECTED_WRITERS
-
     async def _read_origin(
         self, service: str, call_id: str, asked_at: float
     ) -> StreamOrigin:
-        recorded, rows = await asyncio.gather(
-            self.records.find(call_id), self.table.read((_key(service),))
+        recorded, default = await asyncio.gather(
+            self.records.find(call_id), self.defaults.read(service)
         )
         if recorded is not None:
             return StreamOrigin(recorded, "recorded")
-        for row in filter(None, rows):
-            self._apply_row(service, row)
-        return unrecorded_origin(
-            self.defaults.get(service),
-            asked_at,
-            self.view.stream_life_s(),
-            self.eras.changed_at,
-        )
-
-    def _next_default(self, service: str, now: float) -> DefaultVersion | None:
-        """Returns the default whose row has to be written, ``None`` if none has.
-
-        It is a new one if the present one has no endpoints left, and the present one if
-        the store has lost its row.
-        """
-        ready = tuple(self.view.ready(service))
-        default = self.defaults.get(service)
-        if self.view.directory_age_s() > MAX_DIRECTORY_AGE_S or not ready:
-            return None
-        if default is None:
-            alone = len({e.software_version for e in self.view.entries(service)}) == 1
-            version = most_common_version(ready)
-            return DefaultVersion(version, now - LONG_AGO_S if alone else now)
-        if all(entry.software_version != default.version for entry in ready):
-            return DefaultVersion(most_common_version(ready), now)
-        lost = self.row_versions.get(service, ABSENT) == ABSENT
-        return default if lost else None
-
-    async def _write_default(self, service: str, default: DefaultVersion) -> None:
-        offset_s = self.time.offset_s()
-        if offset_s is None:
-            return
-        key = _key(service)
-        content = DefaultRow(default.version, default.since + offset_s)
-        value = msgspec.json.encode(content)
-        check = Check(key, self.row_versions.get(service, ABSENT))
-        commit = await self.table.commit((check,), (Write(key, value),))
-        self.row_versions[service] = ABSENT
-        written = Row(key, commit.version, value)
-        for row in (written,) if commit.committed else commit.rows:
-            self._apply_row(service, row)
-
-    def _apply_row(self, service: str, row: Row) -> None:
-        try:
-            content = msgspec.json.decode(row.value, type=DefaultRow)
-        except msgspec.DecodeError as error:
-            log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
-            return
-        offset_s = self.time.offset_s()
-        now = self.clock()
-        since = now if offset_s is None else min(now, content.since_s - offset_s)
-        known = self.defaults.get(service)
-        self.row_versions[service] = row.version
-        self.defaults[service] = DefaultVersion(content.version, since)
-        if known is None or known.version != content.version:
-            log_event(
-                Event.DEFAULT_VERSION_CHANGED, service=service, version=content.version
-            )
-
-
-def _key(service: str) -> str:
-    return f"{FLEET_TABLE}//software/{service}"
+        stream_life_s = self.view.stream_life_s()
+        rows_lost_at = self.eras.changed_at
+        return unrecorded_origin(default, asked_at, stream_life_s, rows_lost_at)
--- a/verbenagrade/coordination/tests/test_stream_versions.py
+++ b/verbenagrade/coordination/tests/test_stream_versions.py
@@ -138,7 +138,7 @@
         fleet.serve("v1", "v2", "v2", "v2")
         await fleet.maintain()
         assert fleet.store.rows.keys() == rows.keys()
-        assert first.versions.defaults[SERVICE].version == "v1"
+        assert first.versions.defaults.known[SERVICE].version == "v1"
 
     play(scenario)
 
--- a/verbenagrade/coordination/tests/test_unproven_versions.py
+++ b/verbenagrade/coordination/tests/test_unproven_versions.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from verbenagrade.coordination.ports import Write
+from verbenagrade.coordination.ports import Changes, Write
 from verbenagrade.coordination.stream_records import ROW_LIFE_S
 from verbenagrade.coordination.tests.version_fleet import (
+    DEFAULT_KEY,
+    SERVICE,
     STORE_CLOCK_S,
     STREAM_LIFE_S,
     play,
@@ -163,3 +165,80 @@
         assert await second.find("a") == "v2"
 
     play(scenario)
+
+
+# Guards against a default that only this VM remembers, because the store has lost its
+# row: the other VMs may know another one by now.
+def test_default_that_the_store_does_not_have_is_no_proof():
+    async def scenario(fleet, first, second):
+        await first.begin("a", "v1")
+        fleet.store.write((Write(DEFAULT_KEY, None),))
+        assert await second.find("a") is None
+        second.follow(removed=(DEFAULT_KEY,))
+        await second.maintain()
+        assert await second.find("a") == "v1"
+
+    play(scenario)
+
+
+# Guards against a default that counts as known though its row can't be read, and
+# against such a row that nobody replaces.
+def test_default_whose_row_is_unreadable_is_no_proof_and_is_written_again():
+    async def scenario(fleet, first, second):
+        await first.begin("a", "v1")
+        fleet.store.write((Write(DEFAULT_KEY, b"[]"),))
+        assert await second.find("a") is None
+        for vm in fleet.vms:
+            vm.follow()
+        await fleet.maintain()
+        assert await second.find("a") == "v1"
+
+    play(scenario)
+
+
+# Guards against a late response of the feed that puts a replaced default back, so that
+# streams which begin there are not recorded.
+def test_late_row_does_not_put_a_replaced_default_back():
+    async def scenario(fleet, first, second):
+        late = fleet.store.rows[DEFAULT_KEY]
+        fleet.serve("v2", "v2")
+        await first.maintain()
+        assert await second.find("unknown") is None
+        second.versions.apply(Changes(fleet.store.version, (late,)))
+        assert second.versions.defaults.known[SERVICE].version == "v2"
+
+    play(scenario)
+
+
+# Guards against a VM whose clock stood still, and which dates a new default back so far
+# that streams of the replaced one go on at it.
+def test_default_that_is_dated_back_is_not_settled_at_once():
+    async def scenario(fleet, first, second):
+        await first.begin("old", "v1")
+        fleet.serve("v2", "v2")
+        second.follow()
+        first.store_time_offset_s = STORE_CLOCK_S - 2 * STREAM_LIFE_S
+        await first.maintain()
+        assert await second.find("old") is None
+        second.follow()
+        assert await second.find("old") is None
+
+    play(scenario)
+
+
+# Guards against a first default that counts for streams from before it was written, at
+# a version that the VM has seen and that has gone.
+def test_first_default_is_not_settled_after_another_version_has_served():
+    async def scenario(fleet, first, second):
+        fleet.store.write((Write(DEFAULT_KEY, None),))
+        fleet.vms = []
+        fleet.serve("v0", "v0")
+        vm, other = await fleet.add(), await fleet.add()
+        vm.versions.need(SERVICE, "v0")
+        other.versions.begun.record("old", "v0")
+        fleet.serve("v1", "v1")
+        await vm.maintain()
+        assert DEFAULT_KEY in fleet.store.rows
+        assert await vm.find("old") is None
+
+    play(scenario)
--- a/verbenagrade/coordination/tests/version_fleet.py
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -5,11 +5,12 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 
+from verbenagrade.coordination.default_versions import ServiceView
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Changes, CommitResult, PlatformStore, Row
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.coordination.stream_records import StreamRecords
-from verbenagrade.coordination.stream_versions import ServiceView, StreamVersions
+from verbenagrade.coordination.stream_versions import StreamVersions
 from verbenagrade.exceptions import PlatformError
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.stream_versions import RecordNeed
@@ -18,6 +19,7 @@
 STREAM_LIFE_S = 24.0
 STORE_CLOCK_S = 5000.0
 SERVICE = "pool"
+DEFAULT_KEY = f"fleet//software/{SERVICE}"
 
 
 class Store:
@@ -137,12 +139,12 @@
         """Returns how outdated what the VM knows may be, in seconds."""
         return 0.0 if self.cut_off_at is None else self.fleet.clock() - self.cut_off_at
 
-    def follow(self, complete=False) -> None:
+    def follow(self, complete=False, removed=()) -> None:
         if self.outdated:
             return
         store = self.fleet.store
         rows = tuple(r for k, r in store.rows.items() if k.startswith("fleet//"))
-        self.versions.apply(Changes(store.version, rows, complete=complete))
+        self.versions.apply(Changes(store.version, rows, removed, complete))
 
     async def begin(self, call, version, number=1) -> None:
         """Begins a stream as a gateway does: recorded before its first event."""
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -5,13 +5,14 @@
 
 from verbenagrade.coordination.allowances import AllowanceManager
 from verbenagrade.coordination.budget_holder import BudgetHolder
+from verbenagrade.coordination.default_versions import ServiceView
 from verbenagrade.coordination.fleet_budgets import FleetBudgets, HolderLinks
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Clock, PlatformStore
 from verbenagrade.coordination.spending_reports import SpendingReports, VmIdentity
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.coordination.stream_records import StreamRecords
-from verbenagrade.coordination.stream_versions import ServiceView, StreamVersions
+from verbenagrade.coordination.stream_versions import StreamVersions
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.holders import HolderRanking, HolderVm
 from verbenagrade.state.relay_peers import RelayPeer
