Record streams whose VM can't know that the default stands for them

What callers would see: a stream is taken up at a VM in touch and goes on at the default, although it began at another version. The VM that began it had not recorded it, because what it knew said that no record was needed:

- It had never read the defaults, knew endpoints of one version only, and needed no record for it; the default was another one.
Now a record is required until the defaults were read, and written if possible until a service has its first default.
- It knew no endpoint of the default any more and was cut off from the store, so that streams began elsewhere without a record; endpoints of the default had come back.
Now that holds only in touch with the store (endpoints heard of within 1 s, records taken); otherwise the record is required.
That is looked at again before the first event is delivered, as the VM may have lost touch since the attempt began.
- It had heard nothing of the defaults for longer than streams are taken up, in a pause or because only that feed was cut.
Streams at the default are recorded then, if the store takes records, from half of that time on.

The price: a VM that loses touch with the store after the last endpoint of the default has left begins no new resumable stream until it is back in touch. A short outage is better than two versions in one stream.

In the other tests VMs follow the store while time passes now, as gateways do.

--- a/verbenagrade/coordination/default_versions.py
+++ b/verbenagrade/coordination/default_versions.py
@@ -24,7 +24,11 @@
 )
 from verbenagrade.events import Event, log_event
 from verbenagrade.state.directory import EndpointEntry
-from verbenagrade.state.stream_versions import DefaultVersion, most_common_version
+from verbenagrade.state.stream_versions import (
+    MAX_ENDPOINTS_AGE_S,
+    DefaultVersion,
+    most_common_version,
+)
 
 __all__ = ["DefaultVersions", "ServiceView"]
 
@@ -32,9 +36,6 @@
 ABSENT = 0
 """Version of a row that does not exist."""
 
-MAX_DIRECTORY_AGE_S = 1.0
-"""Age of the known endpoints, in seconds, above which no default is replaced."""
-
 EXPECTED_WRITERS = 2.0
 """Expected number of VMs that write the row of a default in each round."""
 
@@ -68,8 +69,8 @@
     ``known`` has the last default of each service that could be read, ``row_versions``
     the version of its row, and ``unreadable`` the services whose row can't be decoded.
     ``seen`` has all versions of a service's endpoints that this VM has seen while it
-    knew no default. ``heard_at`` is when the last changes of the table arrived, in
-    seconds.
+    knew no default. ``heard_at`` is when the feed of the table last brought a response,
+    in seconds.
     """
 
     def __init__(
@@ -89,7 +90,7 @@
         self.row_versions: dict[str, int] = {}
         self.unreadable: set[str] = set()
         self.seen: dict[str, set[str]] = {}
-        self.heard_at = clock()
+        self.heard_at = float("-inf")
 
     def apply(self, changes: Changes) -> None:
         """Applies changes of the fleet's table.
@@ -153,7 +154,7 @@
         """
         ready = tuple(self.view.ready(service))
         default = self.known.get(service)
-        if self.view.directory_age_s() > MAX_DIRECTORY_AGE_S or not ready:
+        if self.view.directory_age_s() > MAX_ENDPOINTS_AGE_S or not ready:
             return None
         if default is None:
             first = service not in self.unreadable and len(self.seen[service]) == 1
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -23,6 +23,7 @@
 from verbenagrade.exceptions import PlatformError, UnreadableRowError
 from verbenagrade.state.stream_versions import (
     BegunStreams,
+    Knowledge,
     RecordNeed,
     StreamOrigin,
     record_need,
@@ -86,13 +87,17 @@
     def need(self, service: str, version: str) -> RecordNeed:
         """Returns whether a stream that begins at a version has to be recorded."""
         self.defaults.watch(service)
-        return record_need(
-            self.defaults.known.get(service),
-            version,
-            frozenset(entry.software_version for entry in self.view.ready(service)),
-            self.clock(),
-            self.view.stream_life_s(),
+        now = self.clock()
+        known = Knowledge(
+            default=self.defaults.known.get(service),
+            defaults_age_s=now - self.defaults.heard_at,
+            ready_versions=frozenset(
+                entry.software_version for entry in self.view.ready(service)
+            ),
+            endpoints_age_s=self.view.directory_age_s(),
+            store_away=self.records.away,
         )
+        return record_need(known, version, now, self.view.stream_life_s())
 
     def may_record(self) -> bool:
         """Returns whether the store takes another record of this VM now."""
--- a/verbenagrade/coordination/tests/test_stream_versions.py
+++ b/verbenagrade/coordination/tests/test_stream_versions.py
@@ -48,7 +48,7 @@
         await fleet.maintain()
         assert await second.find("old") is None
         assert await second.find("new") == "v2"
-        await asyncio.sleep(STREAM_LIFE_S + 1.0)
+        await fleet.pass_time(STREAM_LIFE_S + 1.0)
         await first.begin("later", "v2")
         assert first.versions.need(SERVICE, "v2") is RecordNeed.NONE
         assert await second.find("later") == "v2"
--- a/verbenagrade/coordination/tests/test_unproven_versions.py
+++ b/verbenagrade/coordination/tests/test_unproven_versions.py
@@ -13,6 +13,7 @@
     STREAM_LIFE_S,
     play,
 )
+from verbenagrade.state.stream_versions import RecordNeed
 
 SWEEPS = 2000
 """Number of rounds in which each partition is looked through, almost certainly."""
@@ -242,3 +243,67 @@
         assert await vm.find("old") is None
 
     play(scenario)
+
+
+# Guards against a VM that has not read the defaults yet and knows endpoints of one
+# version only: its streams go on at the default, which is another.
+def test_stream_is_recorded_before_the_defaults_are_read():
+    async def scenario(fleet, first, second):
+        fleet.serve("v2", "v2")
+        started = fleet.start_vm()
+        started.stand_still()
+        fleet.serve("v1", "v1", "v2", "v2")
+        assert started.versions.need(SERVICE, "v2") is RecordNeed.REQUIRED
+        await started.begin("a", "v2")
+        assert await second.find("a") == "v2"
+
+    play(scenario)
+
+
+def test_stream_is_recorded_if_possible_before_the_first_default_is_written():
+    async def scenario(fleet, first, second):
+        fleet.store.write((Write(DEFAULT_KEY, None),))
+        vm = await fleet.add()
+        assert vm.versions.need(SERVICE, "v1") is RecordNeed.OPTIONAL
+
+    play(scenario)
+
+
+# Guards against a VM that is cut off from the store after it saw no endpoint of the
+# default, and does not record streams, though such endpoints are back meanwhile.
+def test_stream_of_a_vm_that_does_not_know_the_endpoints_has_to_be_recorded():
+    async def scenario(fleet, first, second):
+        fleet.serve("v2", "v2")
+        assert first.versions.need(SERVICE, "v2") is RecordNeed.OPTIONAL
+        first.cut_off()
+        fleet.serve("v1", "v2")
+        await asyncio.sleep(2.0)
+        assert first.versions.need(SERVICE, "v2") is RecordNeed.REQUIRED
+
+    play(scenario)
+
+
+# Guards against a VM that stood still or heard nothing for longer than callers take
+# streams up, and does not record streams of a default that was replaced meanwhile.
+def test_default_that_was_heard_of_long_ago_needs_a_record():
+    async def scenario(fleet, first, second):
+        assert first.versions.need(SERVICE, "v1") is RecordNeed.NONE
+        first.stand_still()
+        await fleet.pass_time(STREAM_LIFE_S)
+        assert first.versions.need(SERVICE, "v1") is RecordNeed.OPTIONAL
+        first.versions.records.away = True
+        assert first.versions.need(SERVICE, "v1") is RecordNeed.NONE
+
+    play(scenario)
+
+
+# Guards against a stream that is delivered without a record, because its VM lost touch
+# with the store after it had found that the stream may begin so.
+def test_stream_has_to_be_recorded_once_the_store_takes_no_records():
+    async def scenario(fleet, first, second):
+        fleet.serve("v2", "v2")
+        assert first.versions.need(SERVICE, "v2") is RecordNeed.OPTIONAL
+        first.versions.records.away = True
+        assert first.versions.need(SERVICE, "v2") is RecordNeed.REQUIRED
+
+    play(scenario)
--- a/verbenagrade/coordination/tests/version_fleet.py
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -34,13 +34,21 @@
         self.clock = clock
         self.rows: dict[str, Row] = {}
         self.version = 0
-        self.down = False
+        self.down_at: float | None = None
         self.late: list | None = None
         self.commits = 0
         self.time_offset_s = STORE_CLOCK_S
         self.reads = 0
         self.before_read: Callable[[], None] = lambda: None
 
+    @property
+    def down(self) -> bool:
+        return self.down_at is not None
+
+    @down.setter
+    def down(self, down: bool) -> None:
+        self.down_at = self.clock() if down else None
+
     def port(self, cut_off: Callable[[], bool]) -> PlatformStore:
         def check() -> None:
             if self.down or cut_off():
@@ -137,7 +145,10 @@
 
     def age_s(self) -> float:
         """Returns how outdated what the VM knows may be, in seconds."""
-        return 0.0 if self.cut_off_at is None else self.fleet.clock() - self.cut_off_at
+        since = [
+            t for t in (self.cut_off_at, self.fleet.store.down_at) if t is not None
+        ]
+        return self.fleet.clock() - min(since, default=self.fleet.clock())
 
     def follow(self, complete=False, removed=()) -> None:
         if self.outdated:
@@ -179,17 +190,30 @@
         ]
 
     async def add(self) -> Vm:
+        vm = self.start_vm()
+        vm.follow()
+        return vm
+
+    def start_vm(self) -> Vm:
+        """Starts a VM that has read nothing from the store yet."""
         vm = Vm(self, len(self.vms))
         self.vms.append(vm)
-        vm.follow()
         return vm
 
     async def maintain(self) -> None:
         for vm in self.vms:
             await vm.maintain()
+        self.follow()
+
+    def follow(self) -> None:
         for vm in self.vms:
             vm.follow()
 
+    async def pass_time(self, seconds: float) -> None:
+        """Waits while the VMs follow the store."""
+        await asyncio.sleep(seconds)
+        self.follow()
+
 
 def play(scenario: Callable[..., Awaitable[None]]) -> None:
     """Runs a scenario with a fleet of two VMs, whose endpoints ran v1 for long."""
@@ -200,7 +224,7 @@
         for _ in range(2):
             await fleet.add()
         await fleet.maintain()
-        await asyncio.sleep(2 * STREAM_LIFE_S)
+        await fleet.pass_time(2 * STREAM_LIFE_S)
         await scenario(fleet, *fleet.vms)
 
     run_at_virtual_time(run())
--- a/verbenagrade/state/stream_versions.py
+++ b/verbenagrade/state/stream_versions.py
@@ -14,8 +14,10 @@
 from verbenagrade.state.directory import EndpointEntry
 
 __all__ = [
+    "MAX_ENDPOINTS_AGE_S",
     "BegunStreams",
     "DefaultVersion",
+    "Knowledge",
     "RecordNeed",
     "StreamOrigin",
     "most_common_version",
@@ -26,12 +28,21 @@
 MAX_BEGUN_STREAMS = 20_000
 """Largest number of streams whose versions a VM remembers, about 200 bytes each."""
 
+MAX_ENDPOINTS_AGE_S = 1.0
+"""Age of the known endpoints, in seconds, above which they prove nothing. While the
+store responds, they are some 0.3 s old at most."""
+
+MAX_DEFAULTS_AGE_FRACTION = 0.5
+"""Age of a known default above which it proves nothing, as a fraction of the longest
+time in which callers take streams up. That is twice the longest timeout of a route, so
+that a default which replaced it later is not settled when callers come back."""
+
 
 class RecordNeed(Enum):
     """Whether the version of a stream has to be recorded before its first event.
 
     ``OPTIONAL``: without a record, the stream can't go on elsewhere for some time, but
-    neither can it go on at a wrong version.
+    as far as the VM can know, neither can it go on at a wrong version.
     """
 
     NONE = "none"
@@ -54,34 +65,56 @@
         return now - self.since >= stream_life_s
 
 
+@dataclass(frozen=True, slots=True)
+class Knowledge:
+    """What a VM knows of a service when a stream begins.
+
+    ``default`` is ``None`` if no default is known. ``defaults_age_s`` is how long ago
+    the feed of the defaults brought a response, in seconds, infinite if it never did.
+    ``ready_versions`` are those of the endpoints that take new calls, of which changes
+    may have been missed for ``endpoints_age_s``. ``store_away`` tells that the store
+    takes no records now.
+    """
+
+    default: DefaultVersion | None
+    defaults_age_s: float
+    ready_versions: frozenset[str]
+    endpoints_age_s: float
+    store_away: bool = False
+
+
 def record_need(
-    default: DefaultVersion | None,
-    version: str,
-    ready_versions: frozenset[str],
-    now: float,
-    stream_life_s: float,
+    known: Knowledge, version: str, now: float, stream_life_s: float
 ) -> RecordNeed:
     """Returns whether a stream that begins at a version has to be recorded.
 
-    ``ready_versions`` are those of the endpoints that take new calls.
+    ``stream_life_s`` is the longest time in which callers take a stream up.
 
     >>> default = DefaultVersion("v1", since=0.0)
-    >>> both = frozenset({"v1", "v2"})
-    >>> record_need(default, "v1", both, now=60.0, stream_life_s=24.0)
+    >>> both = Knowledge(default, 0.0, frozenset({"v1", "v2"}), endpoints_age_s=0.0)
+    >>> record_need(both, "v1", now=60.0, stream_life_s=24.0)
     <RecordNeed.NONE: 'none'>
-    >>> record_need(default, "v2", both, now=60.0, stream_life_s=24.0)
+    >>> record_need(both, "v2", now=60.0, stream_life_s=24.0)
     <RecordNeed.REQUIRED: 'required'>
-    >>> record_need(default, "v2", frozenset({"v2"}), now=60.0, stream_life_s=24.0)
+    >>> new = Knowledge(default, 0.0, frozenset({"v2"}), endpoints_age_s=0.0)
+    >>> record_need(new, "v2", now=60.0, stream_life_s=24.0)
     <RecordNeed.OPTIONAL: 'optional'>
+    >>> outdated = Knowledge(default, 0.0, frozenset({"v2"}), endpoints_age_s=5.0)
+    >>> record_need(outdated, "v2", now=60.0, stream_life_s=24.0)
+    <RecordNeed.REQUIRED: 'required'>
     """
+    default = known.default
+    heard = known.defaults_age_s <= MAX_DEFAULTS_AGE_FRACTION * stream_life_s
     if default is None:
-        return RecordNeed.REQUIRED if len(ready_versions) > 1 else RecordNeed.NONE
+        alone = heard and len(known.ready_versions) == 1
+        return RecordNeed.OPTIONAL if alone else RecordNeed.REQUIRED
     if version == default.version:
         settled = default.is_settled(now, stream_life_s)
-        return RecordNeed.NONE if settled else RecordNeed.OPTIONAL
-    if default.version in ready_versions:
-        return RecordNeed.REQUIRED
-    return RecordNeed.OPTIONAL
+        certain = settled and (heard or known.store_away)
+        return RecordNeed.NONE if certain else RecordNeed.OPTIONAL
+    gone = default.version not in known.ready_versions
+    in_touch = known.endpoints_age_s <= MAX_ENDPOINTS_AGE_S and not known.store_away
+    return RecordNeed.OPTIONAL if gone and in_touch else RecordNeed.REQUIRED
 
 
 @dataclass(frozen=True, slots=True)
--- a/verbenagrade/transport/gateway/versions.py
+++ b/verbenagrade/transport/gateway/versions.py
@@ -107,20 +107,32 @@
         or progress.stream_version is not None
     ):
         return
-    record = progress.version_record
-    if record is not None:
-        timeout_s = max(0.0, call.deadline - core.clock())
-        if not progress.version_required:
-            timeout_s = min(timeout_s, OPTIONAL_RECORD_S)
-        await asyncio.wait({record}, timeout=timeout_s)
-        if record.done():
-            record.result()
-        elif progress.version_required:
-            raise UpstreamTimeoutError("the version of the stream was not recorded")
+    if progress.version_record is not None:
+        await _wait_for_record(core, call, progress, entry)
     progress.stream_version = entry.software_version
     core.versions.begun.record(call.head.call_id, entry.software_version)
 
 
+async def _wait_for_record(
+    core: GatewayCore, call: Call, progress: CallProgress, entry: EndpointEntry
+) -> None:
+    """Returns once the record is written or not needed, or else raises an exception."""
+    record = progress.version_record
+    left_s = max(0.0, call.deadline - core.clock())
+    if not progress.version_required:
+        await asyncio.wait({record}, timeout=min(left_s, OPTIONAL_RECORD_S))
+        # The VM may have lost touch with the store since the attempt began.
+        need = core.versions.need(call.service, entry.software_version)
+        progress.version_required = need is RecordNeed.REQUIRED
+    if progress.version_required:
+        left_s = max(0.0, call.deadline - core.clock())
+        await asyncio.wait({record}, timeout=left_s)
+    if record.done():
+        record.result()
+    elif progress.version_required:
+        raise UpstreamTimeoutError("the version of the stream was not recorded")
+
+
 def end_record(progress: CallProgress) -> None:
     """Stops the record of an attempt that has ended."""
     if progress.version_record is not None:
