Charge streams by the configuration that admitted them

Callers saw: a workspace consumed more than it prepaid, and others' calls were paid for by nobody. Streams under way while a version of the configuration arrived that no longer lists their service were charged one token for each event.

Cause: the tokens of an event were looked up when the call ended, in the newest configuration, and "not listed" was taken for one token. The bound had been reserved under the version that admitted the call.

A call now holds the tokens of its events from its admission, as it holds its route, its service and its workspace, so nothing that arrives later changes the charge. If the admitting version does not list the service either, the tokens of its events are not known, and a stream with events is charged what it reserved.

Looked for elsewhere: the engine's memory, the priority and the limits of the route are read once at admission. Not changed: the time for which records of streams are kept follows from the newest routes, and a VM that passes a call on limits its body by the newest configuration.

--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -11,7 +11,12 @@
 from verbenagrade.state.endpoint_stats import CallShape
 from verbenagrade.state.placement import LONG_PROMPT_FRACTION
 from verbenagrade.state.reservations import Reservation
-from verbenagrade.state.routes import RouteEntry, RouteIndex, WorkspaceEntry
+from verbenagrade.state.routes import (
+    RouteEntry,
+    RouteIndex,
+    ServiceEntry,
+    WorkspaceEntry,
+)
 from verbenagrade.transport.gateway import refusals
 from verbenagrade.transport.gateway.admission import (
     RefusedError,
@@ -110,27 +115,43 @@
     _find_workspace(core, index, _find_route(core, index, head), head)
     check_load(core)
     body = await read_body(core, request, index.configuration.limits.body_bytes)
+    call = _build_call(core, request, head, body, started_at)
+    cause = find_cause(core, call)
+    if cause and not await is_on_trial(core, call, cause):
+        log_event(Event.CALL_CONVICTED, call=head.call_id, cause=cause)
+        raise RefusedError(refusals.POISON_CALL)
+    return call
+
+
+def _build_call(
+    core: GatewayCore,
+    request: web.BaseRequest,
+    head: CallHead,
+    body: bytes,
+    started_at: float,
+) -> Call:
+    """Returns the call as the present configuration admits it.
+
+    Raises ``RefusedError`` if the configuration does not allow it.
+    """
     index = core.route_index
     route = _find_route(core, index, head)
     workspace = _find_workspace(core, index, route, head)
     service = _choose_service(core, route)
-    call = Call(
+    entry = index.services.get(service)
+    return Call(
         head=head,
         method=request.method,
         headers=tuple(_end_to_end_headers(request)),
         body=body,
         route=route,
         service=service,
+        tokens_per_event=entry.tokens_per_event if entry else None,
         workspace=workspace,
-        shape=_call_shape(index, route, service, head),
+        shape=_call_shape(route, entry, head),
         started_at=started_at,
         deadline=started_at + min(head.timeout_s, route.timeout_s),
     )
-    cause = find_cause(core, call)
-    if cause and not await is_on_trial(core, call, cause):
-        log_event(Event.CALL_CONVICTED, call=head.call_id, cause=cause)
-        raise RefusedError(refusals.POISON_CALL)
-    return call
 
 
 def _head_bytes(request: web.BaseRequest) -> int:
@@ -190,10 +211,9 @@
 
 
 def _call_shape(
-    index: RouteIndex, route: RouteEntry, service: str, head: CallHead
+    route: RouteEntry, entry: ServiceEntry | None, head: CallHead
 ) -> CallShape:
     """Returns the properties of a call that placement depends on."""
-    entry = index.services.get(service)
     memory = entry.memory_tokens if entry else 0
     return CallShape(
         prompt=head.prompt if route.affinity else (),
@@ -231,7 +251,7 @@
     try:
         forwarded = await forward(core, request, call, progress)
     finally:
-        used_tokens = _used_tokens(core, call, progress)
+        used_tokens = _used_tokens(call, progress)
         if reservation is not None:
             core.budgets.settle(reservation, min(token_bound, used_tokens))
     _record_end(core, call, progress, forwarded.result, used_tokens)
@@ -266,7 +286,7 @@
     return "holder" if reservation.parts[0].number else "own"
 
 
-def _used_tokens(core: GatewayCore, call: Call, progress: CallProgress) -> int:
+def _used_tokens(call: Call, progress: CallProgress) -> int:
     """Returns the tokens that a call is charged for.
 
     These are the tokens of its prompt if the call may have run, and an upper bound
@@ -274,9 +294,7 @@
     """
     if progress.outcome.state in ("reserved", "refused"):
         return 0
-    service = core.route_index.services.get(call.service) if core.route_index else None
-    per_event = service.tokens_per_event if service else 1
-    return call.head.tokens.prompt + progress.delivered_events * per_event
+    return call.head.tokens.prompt + call.event_tokens(progress.delivered_events)
 
 
 def _record_end(
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -26,7 +26,9 @@
     ``started_at`` and ``deadline`` are times on the clock of the process, in
     seconds. ``deadline`` is the earlier of the caller's timeout and the route's.
     ``headers`` are those of the caller, except the hop-by-hop headers that
-    ``Connection`` lists.
+    ``Connection`` lists. ``tokens_per_event`` is the most tokens that one event of the
+    service contains, ``None`` if that is not known. Later configurations change
+    nothing of this.
     """
 
     head: CallHead
@@ -35,6 +37,7 @@
     body: bytes
     route: RouteEntry
     service: str
+    tokens_per_event: int | None
     workspace: WorkspaceEntry | None
     shape: CallShape
     started_at: float
@@ -66,6 +69,15 @@
         charged = workspace is not None and workspace.prepaid is not None
         return charged and self.head.tokens.total > 0
 
+    def event_tokens(self, events: int) -> int:
+        """Returns the most tokens that so many events of the call contain.
+
+        It is the largest possible output if the tokens in an event are not known.
+        """
+        if self.tokens_per_event is None:
+            return self.head.tokens.output if events else 0
+        return events * self.tokens_per_event
+
 
 def shared_parts(head: CallHead) -> tuple[str, ...]:
     """Returns the names of the parts of a prompt that other calls may share.
