Take no lost response for a crash of its endpoint

Callers saw: sound reads that share path and key, such as one record that is read again and again, were refused with 422 by all VMs for ten minutes without being sent, after three responses to them had been lost.

Cause: each broken response counted as a crash of its endpoint under the digest of path, key and body. Nobody asked whether the endpoint had crashed (that was asked for parts of prompts only), no later response cleared a digest, and no trial was made. "The connection broke" was read as "the endpoint crashed because of this call".

Now a broken response counts only with a proof that its endpoint crashed: it refuses a connection right afterwards, asked again after 0.25 s, or its entry shows within 4 s that it has started again, or that a later endpoint has its address. An endpoint that does not respond at all may be out of this VM's reach, so its entry has to be gone as well, and a VM that is cut off goes by the entries alone. That is the same for parts of prompts. A complete response clears a digest of the crashes from before it was sent, on every VM; a call that was seen to be served is not convicted by crashes at one moment; and 3 and 60 s after a conviction one VM sends one such call, as for parts. Two trials stay within the three retries that are allowed. Rows are as before and are read both ways.

--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -1,12 +1,12 @@
 """Shares the presence of gateways and the crashes of endpoints through the store.
 
 The table ``fleet`` has a row ``vm/NAME`` for each VM that runs a gateway. A row
-``crash/DIGEST/ENDPOINT`` stands for an endpoint incarnation that broke the connection
-while it ran a call, and a row ``suspect/PART/ENDPOINT`` for one that crashed while it
-had a call with this part of a prompt. A row ``trial/PART/NUMBER`` tells that a VM sends
-a call to try a convicted part. The row of a lost VM stays until a new VM with
-the same name overwrites it. The number of VMs is then too high, which only makes the
-other gateways more conservative. Rows of crashes are removed when they no longer count.
+``crash/DIGEST/ENDPOINT`` stands for an endpoint incarnation that crashed while it ran a
+call, and a row ``suspect/PART/ENDPOINT`` for one that had a call with this part of a
+prompt. A row ``trial/NAME/NUMBER`` tells that a VM sends a call to try a convicted part
+or digest. The row of a lost VM stays until a new VM with the same name overwrites it.
+The number of VMs is then too high, which only makes the other gateways more
+conservative. Rows of crashes are removed when they no longer count.
 """
 
 import random
@@ -32,8 +32,8 @@
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
-from verbenagrade.state.crash_suspects import SUSPICION_S, CrashSuspects
-from verbenagrade.state.poison_calls import PoisonCalls
+from verbenagrade.state.crash_memory import CrashMemory
+from verbenagrade.state.crash_suspects import SUSPICION_S
 from verbenagrade.state.relay_peers import RelayPeers
 
 __all__ = ["FLEET_TABLE", "GatewayFleet"]
@@ -69,9 +69,9 @@
     ``own_reports`` are the keys of the crashes that this VM saw, each with the era in
     which its row was written, or ``NO_ERA``. ``crash_times`` has the time of each
     crash that counts, by the key of its row, in seconds on ``clock``. ``removals`` are
-    the keys of rows to remove, and ``claims`` the parts that this VM is about to try.
-    ``loaded`` is true once the table was read. ``presence`` is what this VM's row says,
-    and ``peers`` are the VMs that pass calls on.
+    the keys of rows to remove, and ``claims`` the parts and digests that this VM is
+    about to try. ``loaded`` is true once the table was read. ``presence`` is what this
+    VM's row says, and ``peers`` are the VMs that pass calls on.
     """
 
     def __init__(
@@ -89,8 +89,9 @@
         self.eras = eras
         self.clock = clock
         self.vms: set[str] = {vm}
-        self.poison_calls = PoisonCalls()
-        self.suspects = CrashSuspects()
+        self.memory = CrashMemory()
+        self.poison_calls = self.memory.poison_calls
+        self.suspects = self.memory.suspects
         self.announced_in = NO_ERA
         self.own_reports: dict[str, int] = {}
         self.crash_times: OrderedDict[str, float] = OrderedDict()
@@ -139,14 +140,16 @@
         except PlatformError as error:
             log_event(Event.PLATFORM_AWAY, table=FLEET_TABLE, reason=str(error))
 
-    async def report_crash(self, digest: str, endpoint: str) -> None:
-        """Records that an endpoint incarnation broke the connection during a call.
+    async def report_crashes(
+        self, digests: Iterable[str], endpoint: str, at: float
+    ) -> None:
+        """Records that an endpoint incarnation crashed while it ran calls.
 
-        ``digest`` identifies the call. If the store does not respond, the failure
-        is logged, and ``write_reports`` tries again.
+        ``digests`` identify the calls, and ``at`` is the time of the crash, in seconds.
+        If the store does not respond, the failure is logged, and ``write_reports``
+        tries again.
         """
-        if self.poison_calls.record_crash(digest, endpoint):
-            await self._report((f"{FLEET_TABLE}//crash/{digest}/{endpoint}",))
+        await self._report("crash", digests, endpoint, at)
 
     async def report_suspects(
         self, parts: Iterable[str], endpoint: str, at: float
@@ -156,14 +159,7 @@
         ``at`` is the time of the crash, in seconds. If the store does not respond, the
         failure is logged, and ``write_reports`` tries again.
         """
-        keys = tuple(
-            f"{FLEET_TABLE}//suspect/{part}/{endpoint}"
-            for part in parts
-            if self.suspects.record_crash(part, endpoint, at)
-        )
-        for key in keys:
-            self.crash_times[key] = at
-        await self._report(keys)
+        await self._report("suspect", parts, endpoint, at)
 
     def record_survival(self, parts: tuple[str, ...], sent_at: float) -> bool:
         """Records that a call shows its parts to be sound; it was sent at ``sent_at``.
@@ -171,27 +167,28 @@
         Returns whether rows held crashes against them, which ``write_removals``
         removes.
         """
-        trials = {part: self.suspects.trials.get(part, 0) for part in parts}
-        cleared = self.suspects.record_survival(parts, sent_at)
-        for part in {part for part, _ in cleared}:
-            self._remove_trials(part, trials[part])
-        for part, endpoint in cleared:
-            key = f"{FLEET_TABLE}//suspect/{part}/{endpoint}"
-            self.crash_times.pop(key, None)
-            self._remove_row(key)
-        return bool(cleared)
+        return self._remove_rows(self.memory.record_survival(parts, sent_at))
 
-    async def try_part(self, part: str) -> bool:
-        """Returns whether this VM may now send a call to try a convicted part.
+    def record_completion(self, digest: str, sent_at: float) -> bool:
+        """Records a complete response to a call that was sent at ``sent_at``.
+
+        Returns whether rows held crashes against its digest, which ``write_removals``
+        removes.
+        """
+        return self._remove_rows(self.memory.record_completion(digest, sent_at))
+
+    async def try_cause(self, cause: str) -> bool:
+        """Returns whether this VM may now send a call to try a part or a digest.
 
         Only one VM gets each trial. It is false if the store does not respond.
         """
-        number = self.suspects.next_trial(part, self.clock())
-        if number is None or part in self.claims:
+        memory = self.memory.of(cause)
+        number = memory.next_trial(cause, self.clock())
+        if number is None or cause in self.claims:
             return False
-        key = f"{FLEET_TABLE}//trial/{part}/{number}"
+        key = f"{FLEET_TABLE}//trial/{cause}/{number}"
         self.crash_times[key] = self.clock()
-        self.claims.add(part)
+        self.claims.add(cause)
         try:
             commit = await self.table.commit(
                 (Check(key, 0),), (Write(key, self._value(key)),)
@@ -201,8 +198,8 @@
             log_event(Event.CRASH_NOT_REPORTED, rows=1, reason=str(error))
             return False
         finally:
-            self.claims.discard(part)
-        self.suspects.record_trial(part, number)
+            self.claims.discard(cause)
+        memory.record_trial(cause, number)
         return commit.committed
 
     async def write_removals(self) -> None:
@@ -243,20 +240,15 @@
         kind, *names = split_key(key, FLEET_TABLE)
         if len(names) != CRASH_KEY_PARTS - 1:
             return
-        if kind == "crash":
-            self.poison_calls.forget(*names)
-        elif kind == "suspect":
-            self.suspects.forget(*names)
-        elif kind == "trial":
-            self.suspects.trials.pop(names[0], None)
-
-    def _remove_trials(self, part: str, count: int) -> None:
-        """Forgets the trials of a part that was shown to be sound."""
-        self.suspects.trials.pop(part, None)
-        for number in range(count):
-            key = f"{FLEET_TABLE}//trial/{part}/{number}"
+        self.memory.forget(kind, *names)
+
+    def _remove_rows(self, names: tuple[str, ...]) -> bool:
+        """Has rows removed that no longer hold; returns whether there are any."""
+        for name in names:
+            key = f"{FLEET_TABLE}//{name}"
             self.crash_times.pop(key, None)
             self._remove_row(key)
+        return bool(names)
 
     async def _write_removals(self) -> None:
         keys = tuple(self.removals)[:MAX_ROWS_PER_COMMIT]
@@ -265,10 +257,17 @@
         for key in keys:
             self.removals.pop(key, None)
 
-    async def _report(self, keys: tuple[str, ...]) -> None:
+    async def _report(
+        self, kind: str, names: Iterable[str], endpoint: str, at: float
+    ) -> None:
         """Writes the rows of crashes, or logs that they are to be written later."""
+        keys = tuple(
+            f"{FLEET_TABLE}//{kind}/{name}/{endpoint}"
+            for name in names
+            if self.memory.record(kind, name, endpoint, at)
+        )
         for key in keys:
-            self.crash_times.setdefault(key, self.clock())
+            self.crash_times[key] = at
             self.own_reports[key] = NO_ERA
         while len(self.own_reports) > MAX_OWN_REPORTS:
             self.own_reports.pop(next(iter(self.own_reports)))
@@ -341,18 +340,10 @@
         if self._is_expired(at):
             self._remove_expired(row.key)
             return
-        if kind == "crash":
-            self.poison_calls.record_crash(name, endpoint)
-        elif kind == "trial":
-            self._apply_trial(name, endpoint)
-        elif not self.suspects.record_crash(name, endpoint, at):
+        if not self.memory.record(kind, name, endpoint, at):
             if row.key not in self.crash_times:
                 self._remove_row(row.key)
             return
         self.crash_times.setdefault(row.key, at)
         if len(self.crash_times) > MAX_CRASHES:
             self.crash_times.popitem(last=False)
-
-    def _apply_trial(self, part: str, number: str) -> None:
-        if number.isdecimal():
-            self.suspects.record_trial(part, int(number))
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -45,7 +45,7 @@
     CALL_FAILED = (218, logbook.ERROR, "call failed unexpectedly")
     CALL_BROKEN_OFF = (220, logbook.INFO, "endpoint broke off while it had a call")
     ENDPOINT_CRASH_FOUND = (221, logbook.WARNING, "endpoint crashed; calls suspected")
-    PART_TRIED = (222, logbook.INFO, "call sent to try a part that crashed endpoints")
+    CAUSE_TRIED = (222, logbook.INFO, "call sent to try what crashed endpoints")
     ENDPOINT_LIMITED = (223, logbook.INFO, "endpoint named another limit, or none")
     PERMITS_TAKEN = (224, logbook.INFO, "permits for a limited endpoint requested")
     STREAM_VERSION_UNREAD = (
--- a/verbenagrade/state/crash_suspects.py
+++ b/verbenagrade/state/crash_suspects.py
@@ -9,7 +9,12 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
-__all__ = ["MIN_SURVIVED_EVENTS", "CrashSuspects"]
+__all__ = [
+    "MIN_SURVIVED_EVENTS",
+    "SEPARATE_CRASHES_S",
+    "TRIAL_AFTER_S",
+    "CrashSuspects",
+]
 
 MIN_CRASHES = 3
 """Number of separate crashes after which a part is convicted if it alone has most."""
--- a/verbenagrade/state/directory.py
+++ b/verbenagrade/state/directory.py
@@ -99,6 +99,21 @@
         entry = self.entries.get(incarnation.rpartition("@")[0])
         return entry is not None and entry.incarnation == incarnation
 
+    def has_restarted(self, entry: EndpointEntry) -> bool:
+        """Returns whether the entries show that an incarnation has ended.
+
+        Its endpoint has started again, or another one has at its address.
+        """
+        return any(
+            other.started_ms > entry.started_ms
+            and (other.name == entry.name or other.address == entry.address)
+            for other in self.entries.values()
+        )
+
+    def is_missing(self, entry: EndpointEntry) -> bool:
+        """Returns whether the entry of an incarnation is gone, perhaps for a while."""
+        return entry.name in self.missing_until or not self.has(entry.incarnation)
+
     def remove(self, name: str, now: float) -> None:
         """Records that an endpoint's entry was removed at ``now``, in seconds.
 
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
 
 import aiohttp
 
@@ -25,7 +26,7 @@
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
 
-__all__ = ["BodyBytes", "CrashCheck", "GatewayCore", "Reach"]
+__all__ = ["BodyBytes", "BrokenCall", "CrashCheck", "GatewayCore", "Reach"]
 
 
 FLEET_PATIENCE_S = 2.0
@@ -60,15 +61,40 @@
         self.total -= self.by_call.pop(call, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenCall:
+    """A call that an endpoint broke off ``at`` a time in seconds.
+
+    ``parts`` are those of its prompt that may be at fault if the endpoint crashed.
+    """
+
+    digest: str
+    parts: tuple[str, ...]
+    at: float
+
+
 class CrashCheck:
-    """A check whether an endpoint has crashed, which began ``at`` a time in seconds.
+    """The calls that an endpoint broke off, until it is known whether it crashed.
 
-    ``parts`` are those of the calls that it broke off before they got a response.
+    ``new`` are those after which it was not yet asked for a connection. It accepted one
+    after those in ``accepted``. After those in ``silent`` it did not respond, or this
+    VM reached no endpoint.
     """
 
-    def __init__(self, at: float) -> None:
-        self.at = at
-        self.parts: set[str] = set()
+    def __init__(self) -> None:
+        self.new: list[BrokenCall] = []
+        self.accepted: list[BrokenCall] = []
+        self.silent: list[BrokenCall] = []
+
+    @property
+    def pending(self) -> bool:
+        """Whether there are any calls."""
+        return bool(self.new or self.accepted or self.silent)
+
+    def drop_before(self, oldest_at: float) -> None:
+        """Forgets the calls from before a time, in seconds."""
+        self.accepted = [call for call in self.accepted if call.at >= oldest_at]
+        self.silent = [call for call in self.silent if call.at >= oldest_at]
 
 
 class Reach:
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -21,7 +21,11 @@
 from verbenagrade.transport.gateway import refusals
 from verbenagrade.transport.gateway.calls import Call, CallProgress, CallResult
 from verbenagrade.transport.gateway.core import GatewayCore
-from verbenagrade.transport.gateway.crashes import find_cause, record_broken_call
+from verbenagrade.transport.gateway.crashes import (
+    find_cause,
+    record_broken_call,
+    record_completion,
+)
 from verbenagrade.transport.gateway.delivery import (
     ResponseWriter,
     deliver_plain,
@@ -158,6 +162,7 @@
         async with open_upstream(core, call, progress, entry, patience_s) as upstream:
             response = await _deliver(core, call, progress, writer, entry, upstream)
             _count_end(core, progress, "complete")
+            record_completion(core, call, response.status, progress.sent_at)
             failed = response.status >= MIN_SERVER_ERROR_STATUS
             return response
     except UpstreamUnreachableError as error:
--- a/verbenagrade/transport/gateway/reach.py
+++ b/verbenagrade/transport/gateway/reach.py
@@ -11,7 +11,7 @@
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.transport.gateway.core import GatewayCore
 
-__all__ = ["accepts_connection", "is_cut_off", "watch_reach"]
+__all__ = ["accepts_connection", "connection_error", "is_cut_off", "watch_reach"]
 
 SURVEYED_ENDPOINTS = 3
 """Number of other endpoints that are asked for a connection after one has failed."""
@@ -27,14 +27,25 @@
 
     If it does not, placement avoids the endpoint for some time.
     """
+    return await connection_error(core, entry, timeout_s) is None
+
+
+async def connection_error(
+    core: GatewayCore, entry: EndpointEntry, timeout_s: float
+) -> Exception | None:
+    """Returns why an endpoint accepts no connection, ``None`` if it accepts one.
+
+    The connection is closed again. If there is none, placement avoids the endpoint for
+    some time.
+    """
     started_at = core.clock()
     error = await _try_connection(entry.address, timeout_s)
     if error is None:
         core.reach.record_connected(started_at)
-        return True
+        return None
     core.placement.unreachable(entry, core.clock())
     log_event(Event.ENDPOINT_UNREACHABLE, endpoint=entry.name, reason=repr(error))
-    return False
+    return error
 
 
 async def is_cut_off(core: GatewayCore, failed: EndpointEntry, since: float) -> bool:
