--- a/verbenagrade/commands/client.py
+++ b/verbenagrade/commands/client.py
@@ -6,7 +6,8 @@
 import aiohttp
 import msgspec
 
-from verbenagrade.exceptions import VerbenagradeError
+from verbenagrade.exceptions import UndecodableError, VerbenagradeError
+from verbenagrade.state.decoding import decode_json
 from verbenagrade.transport.sends import SingleSendConnector, send_once
 
 __all__ = ["ControlError", "call_control"]
@@ -41,8 +42,8 @@
                 content = await response.read()
         if not response.ok:
             raise ControlError(_problem_message(content))
-        return msgspec.json.decode(content, type=response_type)
-    except (aiohttp.ClientError, TimeoutError) as error:
+        return decode_json(content, response_type)
+    except (aiohttp.ClientError, TimeoutError, UndecodableError) as error:
         raise ControlError(f"{url}: {error}; try another control process") from error
 
 
@@ -55,7 +56,7 @@
 
 def _problem_message(content: bytes) -> str:
     try:
-        problem = msgspec.json.decode(content, type=ProblemText)
-    except msgspec.DecodeError:
+        problem = decode_json(content, ProblemText)
+    except UndecodableError:
         return content.decode(errors="replace")
     return f"{problem.title}: {problem.detail}"
--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -8,8 +8,13 @@
 
 from verbenagrade.coordination.ports import Row
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PlatformError, UnreadableRowError
+from verbenagrade.exceptions import (
+    PlatformError,
+    UndecodableError,
+    UnreadableRowError,
+)
 from verbenagrade.state.allowance import Allowance, BudgetView
+from verbenagrade.state.decoding import Count, Number, decode_json
 from verbenagrade.state.shards import (
     SHARD_COUNT,
     ShardTransfer,
@@ -40,10 +45,10 @@
     It then contains all grants that the other one contains.
     """
 
-    era: int = 0
-    version: int = 0
-    tokens: int = 0
-    spent: int = 0
+    era: Count = 0
+    version: Count = 0
+    tokens: Number = 0
+    spent: Number = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,8 +61,8 @@
     row of a shard that was restored in a new era of the store.
     """
 
-    tokens: int
-    spent: int = 0
+    tokens: Number
+    spent: Number = 0
     incarnation: str = ""
     origin: ShardState | None = None
 
@@ -275,8 +280,8 @@
     if row is None:
         return CachedRow()
     try:
-        value = msgspec.json.decode(row.value, type=GrantRow)
-    except msgspec.DecodeError as error:
+        value = decode_json(row.value, GrantRow)
+    except UndecodableError as error:
         raise UnreadableRowError(
             f"row {row.key} can't be read ({error}); correct or remove it"
         ) from error
--- a/verbenagrade/coordination/codec.py
+++ b/verbenagrade/coordination/codec.py
@@ -4,7 +4,15 @@
 
 import msgspec
 
-__all__ = ["decode_row", "encode_row"]
+from verbenagrade.coordination.ports import Row
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import UndecodableError, UnreadableRowError
+from verbenagrade.state.decoding import decode_json
+
+__all__ = ["decode_or_ignore", "decode_row", "encode_row", "log_ignored"]
+
+MAX_LOGGED_LENGTH = 200
+"""Length to which the keys of rows are cut in log lines, in characters."""
 
 Record = TypeVar("Record")
 
@@ -17,7 +25,29 @@
 def decode_row(value: bytes, record_type: type[Record]) -> Record:
     """Decodes a stored value into a record of the given type.
 
-    Raises ``msgspec.ValidationError`` if the value does not have the fields of the
-    type, which means that another program wrote it.
+    Raises ``UnreadableRowError`` if the value does not have the fields of the type,
+    which means that another program wrote it. It must not be taken for absent.
+    """
+    try:
+        return decode_json(value, record_type)
+    except UndecodableError as error:
+        raise UnreadableRowError(
+            f"a stored value can't be read ({error}); correct or remove it"
+        ) from error
+
+
+def decode_or_ignore(row: Row, record_type: type[Record]) -> Record | None:
+    """Decodes a row without which the others hold, ``None`` if it can't be read.
+
+    The latter is logged.
     """
-    return msgspec.json.decode(value, type=record_type)
+    try:
+        return decode_json(row.value, record_type)
+    except UndecodableError as error:
+        log_ignored(row.key, str(error))
+        return None
+
+
+def log_ignored(key: str, reason: str) -> None:
+    """Logs that a row was ignored."""
+    log_event(Event.ENTRY_IGNORED, row=key[:MAX_LOGGED_LENGTH], reason=reason)
--- a/verbenagrade/coordination/configuration.py
+++ b/verbenagrade/coordination/configuration.py
@@ -12,8 +12,13 @@
 from verbenagrade.coordination.codec import decode_row, encode_row
 from verbenagrade.coordination.commits import Decision, commit
 from verbenagrade.coordination.ports import Row, Table, Write
-from verbenagrade.exceptions import InvalidResourceError, RevisionConflictError
+from verbenagrade.exceptions import (
+    InvalidResourceError,
+    RevisionConflictError,
+    UndecodableError,
+)
 from verbenagrade.state.budgets import BudgetRow, retarget
+from verbenagrade.state.decoding import decode_json
 from verbenagrade.state.resources import (
     Budget,
     Pool,
@@ -88,8 +93,8 @@
         known = ", ".join(sorted(SPEC_TYPES))
         raise InvalidResourceError(f"kind {kind!r} is not known; use one of {known}")
     try:
-        return msgspec.json.decode(raw, type=spec_type, strict=True)
-    except msgspec.DecodeError as error:
+        return decode_json(raw, spec_type)
+    except UndecodableError as error:
         raise InvalidResourceError(f"spec of this {kind}: {error}") from error
 
 
@@ -220,7 +225,7 @@
 
 
 def _changed_resource_key(change: Row) -> str:
-    return change.value.decode()
+    return change.value.decode(errors="replace")
 
 
 def _head_revision(row: Row | None) -> int:
--- a/verbenagrade/coordination/crash_rows.py
+++ b/verbenagrade/coordination/crash_rows.py
@@ -2,10 +2,12 @@
 
 import msgspec
 
+from verbenagrade.coordination.codec import decode_or_ignore, log_ignored
 from verbenagrade.coordination.ports import Row
-from verbenagrade.events import Event, log_event
+from verbenagrade.state.crash_suspects import TRIAL_NUMBERS
+from verbenagrade.state.decoding import Seconds
 
-__all__ = ["decode_crash_time", "encode_crash", "split_key"]
+__all__ = ["decode_crash_time", "decode_trial", "encode_crash", "split_key"]
 
 
 class CrashRow(msgspec.Struct, frozen=True):
@@ -14,7 +16,7 @@
     It is ``None`` in rows of builds that did not write it.
     """
 
-    at_s: float | None = None
+    at_s: Seconds | None = None
 
 
 def encode_crash(at: float | None, store_time_offset_s: float | None) -> bytes:
@@ -33,14 +35,21 @@
 
     A crash whose time is not known counts as one that happened ``now``.
     """
-    try:
-        at_s = msgspec.json.decode(row.value, type=CrashRow).at_s
-    except msgspec.DecodeError as error:
-        log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
-        at_s = None
-    if at_s is None or store_time_offset_s is None:
+    content = decode_or_ignore(row, CrashRow)
+    if content is None or content.at_s is None or store_time_offset_s is None:
         return now
-    return min(now, at_s - store_time_offset_s)
+    return min(now, content.at_s - store_time_offset_s)
+
+
+def decode_trial(key: str, text: str) -> int | None:
+    """Returns the number of a trial from its row's key, ``None`` if it is none.
+
+    The latter is logged.
+    """
+    if text not in TRIAL_NUMBERS:
+        log_ignored(key, "no VM makes a trial of this number")
+        return None
+    return TRIAL_NUMBERS.index(text)
 
 
 def split_key(key: str, table: str) -> list[str]:
--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -17,6 +17,7 @@
 
 from verbenagrade.coordination.crash_rows import (
     decode_crash_time,
+    decode_trial,
     encode_crash,
     split_key,
 )
@@ -344,7 +345,8 @@
         if kind == "crash":
             self.poison_calls.record_crash(name, endpoint)
         elif kind == "trial":
-            self._apply_trial(name, endpoint)
+            if (number := decode_trial(row.key, endpoint)) is not None:
+                self.suspects.record_trial(name, number)
         elif not self.suspects.record_crash(name, endpoint, at):
             if row.key not in self.crash_times:
                 self._remove_row(row.key)
@@ -352,7 +354,3 @@
         self.crash_times.setdefault(row.key, at)
         if len(self.crash_times) > MAX_CRASHES:
             self.crash_times.popitem(last=False)
-
-    def _apply_trial(self, part: str, number: str) -> None:
-        if number.isdecimal():
-            self.suspects.record_trial(part, int(number))
--- a/verbenagrade/coordination/gateway_updates.py
+++ b/verbenagrade/coordination/gateway_updates.py
@@ -1,6 +1,7 @@
 """Applies rows of the platform's store to a gateway's routes and endpoints."""
 
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.codec import log_ignored
 from verbenagrade.coordination.ports import Changes, Row
 from verbenagrade.events import Event, log_event
 from verbenagrade.state.directory import (
@@ -72,9 +73,13 @@
     """Applies added, changed and removed endpoints to the directory.
 
     ``now`` is in seconds. Returns the endpoints that a new incarnation replaced. An
-    invalid entry is logged and ignored.
+    invalid entry is logged, and names no endpoint: one that had a valid entry before is
+    treated as if its entry had been removed.
     """
-    entries = [entry for row in changes.rows for entry in _decode_entry(row, documents)]
+    prefix = f"{documents.endpoint_table}//"
+    rows = [row for row in changes.rows if row.key.startswith(prefix)]
+    decoded = {row.key: _decode_entry(row, prefix, documents) for row in rows}
+    entries = [entry for entry in decoded.values() if entry is not None]
     if changes.restored:
         ended = directory.restore(entries, now).ended
     elif changes.complete:
@@ -82,19 +87,24 @@
     else:
         ended = tuple(name for entry in entries for name in directory.put(entry).ended)
     for key in changes.removed:
-        name = _endpoint_name(key)
-        log_event(Event.ENDPOINT_GONE, endpoint=name)
-        directory.remove(name, now)
+        if key.startswith(prefix):
+            log_event(Event.ENDPOINT_GONE, endpoint=key.removeprefix(prefix))
+            directory.remove(key.removeprefix(prefix), now)
+    for key, entry in decoded.items():
+        if entry is None:
+            directory.remove(key.removeprefix(prefix), now)
     return DirectoryChange(ended)
 
 
-def _decode_entry(row: Row, documents: DocumentFormat) -> tuple[EndpointEntry, ...]:
-    name = _endpoint_name(row.key)
+def _decode_entry(
+    row: Row, prefix: str, documents: DocumentFormat
+) -> EndpointEntry | None:
+    name = row.key.removeprefix(prefix)
     try:
         entry = documents.decode_endpoint(name, row.value)
     except DocumentError as error:
-        log_event(Event.ENTRY_IGNORED, endpoint=name, reason=str(error))
-        return ()
+        log_ignored(row.key, str(error))
+        return None
     log_event(
         Event.ENDPOINT_SEEN,
         endpoint=name,
@@ -103,9 +113,4 @@
         software_version=entry.software_version,
         version=row.version,
     )
-    return (entry,)
-
-
-def _endpoint_name(key: str) -> str:
-    """Returns the part of a row's key that follows table and partition."""
-    return key.split("/", 2)[2]
+    return entry
--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -32,6 +32,7 @@
 from verbenagrade.coordination.store_availability import StoreAvailability
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
+from verbenagrade.state.shards import SHARD_COUNT
 
 __all__ = ["MAX_TRANSACTIONS_PER_TRANSFER", "GrantTransactions"]
 
@@ -256,12 +257,14 @@
         earliest = max(0, account.era - MAX_EARLIER_ERAS)
         for era in (*range(account.era - 1, max(0, earliest - 1), -1), 0):
             prefix = shards_prefix(account.workspace, era)
-            rows = await self.table.scan(prefix)
-            if rows:
-                return {
-                    int(row.key.removeprefix(prefix)): _first_row(row, era)
-                    for row in rows
-                }
+            rows = {row.key: row for row in await self.table.scan(prefix)}
+            found = {
+                shard: _first_row(rows[key], era)
+                for shard in range(SHARD_COUNT)
+                if (key := f"{prefix}{shard}") in rows
+            }
+            if found:
+                return found
         return {}
 
     async def _write_shards(
--- a/verbenagrade/coordination/permits.py
+++ b/verbenagrade/coordination/permits.py
@@ -12,9 +12,11 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from math import inf
 
 import msgspec
 
+from verbenagrade.coordination.codec import decode_or_ignore, log_ignored
 from verbenagrade.coordination.ports import (
     Check,
     Clock,
@@ -24,6 +26,7 @@
 )
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
+from verbenagrade.state.decoding import Seconds
 from verbenagrade.state.permits import (
     HORIZON_S,
     VALIDITY_S,
@@ -53,6 +56,10 @@
 MAX_RECENT_PERMITS = 256
 """Time in seconds in which received permits are counted, and the largest number."""
 
+MAX_AHEAD_S = 3600.0
+"""Time in seconds by which a row can be ahead of what this VM takes for the store's
+time, which can be outdated. VMs give slots out some seconds ahead."""
+
 UNKNOWN_VERSION = -1
 NEVER_S = float("-inf")
 
@@ -72,7 +79,7 @@
 class PermitRow(msgspec.Struct, frozen=True):
     """The time until which all slots are given out, on the store's clock."""
 
-    given_until_s: float
+    given_until_s: Seconds
 
 
 class EndpointPermits:
@@ -93,16 +100,19 @@
         self.ask_at = NEVER_S
         self.backoff_s = backoff_s
 
-    def see(self, row: Row | None) -> None:
-        """Takes over the present state of the row."""
+    def see(self, row: Row | None, store_now_s: float | None) -> None:
+        """Takes over the present state of the row.
+
+        One that no VM can have written is replaced by the next transaction.
+        """
         self.version = row.version if row else 0
         self.given_until = NEVER_S
-        if row is None:
+        content = decode_or_ignore(row, PermitRow) if row else None
+        if content is None:
             return
-        try:
-            content = msgspec.json.decode(row.value, type=PermitRow)
-        except msgspec.DecodeError as error:
-            log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
+        latest_s = inf if store_now_s is None else store_now_s + MAX_AHEAD_S
+        if content.given_until_s > latest_s:
+            log_ignored(row.key, "its time is too far in the future")
             return
         self.given_until = content.given_until_s
 
@@ -233,7 +243,7 @@
         try:
             if permits.version == UNKNOWN_VERSION:
                 (row,) = await self.table.read((key,))
-                permits.see(row)
+                permits.see(row, self._store_now_s())
             count = await self._transact(key, permits, limit_per_s)
         except PlatformError as error:
             self._lose_store(permits, str(error))
@@ -289,9 +299,13 @@
                 self.received.extend([now] * len(given.slots))
                 permits.held.add([slot - offset_s for slot in given.slots])
                 return len(given.slots)
-            permits.see(commit.rows[0] if commit.rows else None)
+            permits.see(next(iter(commit.rows), None), self._store_now_s())
         return 0
 
+    def _store_now_s(self) -> float | None:
+        offset_s = self.time.offset_s()
+        return None if offset_s is None else self.clock() + offset_s
+
     def _regain_store(self) -> None:
         if not self.away:
             return
--- a/verbenagrade/coordination/presence_rows.py
+++ b/verbenagrade/coordination/presence_rows.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
+from verbenagrade.coordination.codec import decode_or_ignore, log_ignored
 from verbenagrade.coordination.ports import Row
-from verbenagrade.events import Event, log_event
+from verbenagrade.state.decoding import is_address
 from verbenagrade.state.relay_peers import RelayPeer
 
 __all__ = ["PresenceRow", "decode_peer"]
@@ -23,14 +24,17 @@
 
 
 def decode_peer(vm: str, row: Row) -> RelayPeer | None:
-    """Returns the VM of a row, ``None`` if it takes no calls of other VMs."""
-    try:
-        content = msgspec.json.decode(row.value, type=PresenceRow | str)
-    except msgspec.DecodeError as error:
-        log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
-        return None
+    """Returns the VM of a row, ``None`` if it takes no calls of other VMs.
+
+    That holds for a row that can't be read, too, which is logged.
+    """
+    content = decode_or_ignore(row, PresenceRow | str)
     # Builds that take no calls of other VMs write only their incarnation.
-    if isinstance(content, str) or not content.relay_address:
+    if not isinstance(content, PresenceRow) or not content.relay_address:
+        return None
+    addresses = filter(None, (content.relay_address, content.reservation_address))
+    if not all(map(is_address, addresses)):
+        log_ignored(row.key, "an address is no IP and port")
         return None
     return RelayPeer(
         vm,
--- a/verbenagrade/coordination/shared_limits.py
+++ b/verbenagrade/coordination/shared_limits.py
@@ -10,9 +10,11 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from verbenagrade.coordination.codec import decode_or_ignore, log_ignored
 from verbenagrade.coordination.crash_rows import split_key
 from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
 from verbenagrade.coordination.permits import StoreTime, permit_key
@@ -25,6 +27,7 @@
 )
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
+from verbenagrade.state.decoding import Seconds
 from verbenagrade.state.endpoint_limits import EndpointLimits, LimitNotice
 
 __all__ = ["FleetView", "SharedLimits"]
@@ -40,16 +43,22 @@
 """Largest delay of a notice, in seconds for each VM: many VMs hear of a limit at the
 same time, and one of them is enough to write it."""
 
+MAX_AHEAD_S = 60.0
+"""Largest time by which the notice of another VM can be ahead of what this VM takes for
+the store's time, in seconds: what both know of it can be outdated."""
+
 MAX_ROWS_PER_COMMIT = 50
 
+Rate = Annotated[float, msgspec.Meta(ge=0, le=1e11)]
+
 
 class LimitRow(msgspec.Struct, frozen=True):
     """A notice: calls per second, ``None`` for no limit, and its time on the store's
     clock, in seconds.
     """
 
-    limit_per_s: float | None
-    at_s: float
+    limit_per_s: Rate | None
+    at_s: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,13 +174,16 @@
                 self.rows.pop(incarnation, None)
 
     def _apply_row(self, incarnation: str, row: Row) -> None:
-        try:
-            content = msgspec.json.decode(row.value, type=LimitRow)
-        except msgspec.DecodeError as error:
-            log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
+        now, offset_s = self.clock(), self.time.offset_s()
+        content = decode_or_ignore(row, LimitRow)
+        if content is None:
+            self.rows.pop(incarnation, None)
+            return
+        if offset_s is not None and content.at_s > now + offset_s + MAX_AHEAD_S:
+            log_ignored(row.key, "its time is in the future")
+            self.rows.pop(incarnation, None)
             return
         self.rows[incarnation] = content
-        now, offset_s = self.clock(), self.time.offset_s()
         at = now if offset_s is None else min(now, content.at_s - offset_s)
         if not self.view.is_present(incarnation) and content.limit_per_s is None:
             return
--- a/verbenagrade/coordination/spending_reports.py
+++ b/verbenagrade/coordination/spending_reports.py
@@ -20,7 +20,8 @@
 )
 from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PlatformError
+from verbenagrade.exceptions import PlatformError, UndecodableError
+from verbenagrade.state.decoding import decode_json
 from verbenagrade.state.spending import (
     ClosedSpending,
     ReportedBudget,
@@ -189,8 +190,11 @@
         # the earlier process is committed any more. That one ended before this began.
         running_s = self.clock() - self.started_at
         commit = await self._commit(row.version, earlier)
-        if commit.store_time_s is not None:
-            self.closed = self._close(earlier, commit.store_time_s - running_s)
+        store_time_s = commit.store_time_s
+        if store_time_s is not None and earlier.reported_at_s <= store_time_s:
+            self.closed = self._close(earlier, store_time_s - running_s)
+        elif store_time_s is not None:
+            log_event(Event.SPENDING_IGNORED, reason="its time is in the future")
         await self._take_row(commit.version)
 
     async def report(self, budgets: Mapping[str, ReportedBudget]) -> None:
@@ -296,7 +300,7 @@
 def _decode(value: bytes) -> SpendingReport | None:
     """Decodes a report, ``None`` if it can't be read."""
     try:
-        return msgspec.json.decode(value, type=SpendingReport)
-    except msgspec.DecodeError as error:
+        return decode_json(value, SpendingReport)
+    except UndecodableError as error:
         log_event(Event.SPENDING_IGNORED, reason=str(error))
         return None
--- a/verbenagrade/coordination/stream_records.py
+++ b/verbenagrade/coordination/stream_records.py
@@ -14,10 +14,12 @@
 import msgspec
 import xxhash
 
+from verbenagrade.coordination.codec import decode_or_ignore
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Clock, PlatformStore, Row, Write
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
+from verbenagrade.state.decoding import Seconds
 
 __all__ = ["STREAM_TABLE", "StreamRecords"]
 
@@ -45,7 +47,7 @@
     """A version, and the time of the record on the store's clock, in seconds."""
 
     version: str
-    at_s: float
+    at_s: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,8 +193,4 @@
 
 
 def _decode(row: Row) -> StreamRow | None:
-    try:
-        return msgspec.json.decode(row.value, type=StreamRow)
-    except msgspec.DecodeError as error:
-        log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
-        return None
+    return decode_or_ignore(row, StreamRow)
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from verbenagrade.coordination.codec import decode_or_ignore
 from verbenagrade.coordination.crash_rows import split_key
 from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
 from verbenagrade.coordination.permits import StoreTime
@@ -31,6 +32,7 @@
 from verbenagrade.coordination.stream_records import StreamRecords
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
+from verbenagrade.state.decoding import Seconds
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.stream_versions import (
     BegunStreams,
@@ -65,7 +67,7 @@
     """A default version, and since when it is one on the store's clock, in seconds."""
 
     version: str
-    since_s: float
+    since_s: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,10 +270,8 @@
             self._apply_row(service, row)
 
     def _apply_row(self, service: str, row: Row) -> None:
-        try:
-            content = msgspec.json.decode(row.value, type=DefaultRow)
-        except msgspec.DecodeError as error:
-            log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
+        content = decode_or_ignore(row, DefaultRow)
+        if content is None:
             return
         offset_s = self.time.offset_s()
         now = self.clock()
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -134,7 +134,7 @@
     )
     ENDPOINT_SEEN = (505, logbook.INFO, "endpoint registered or changed")
     ENDPOINT_GONE = (506, logbook.INFO, "endpoint removed")
-    ENTRY_IGNORED = (507, logbook.WARNING, "malformed endpoint entry ignored")
+    ENTRY_IGNORED = (507, logbook.WARNING, "malformed entry ignored")
     DOCUMENT_IGNORED = (508, logbook.ERROR, "malformed configuration ignored")
     SETTINGS_RELOADED = (509, logbook.INFO, "settings reloaded")
     SETTINGS_REJECTED = (510, logbook.ERROR, "changed settings rejected")
--- a/verbenagrade/exceptions.py
+++ b/verbenagrade/exceptions.py
@@ -19,6 +19,7 @@
     "RevisionConflictError",
     "SettingsError",
     "UnavailableError",
+    "UndecodableError",
     "UnreadableRowError",
     "UpstreamAttemptLostError",
     "UpstreamFailedError",
@@ -92,6 +93,10 @@
     """A row of the store can't be decoded; correct or remove it."""
 
 
+class UndecodableError(VerbenagradeError, ValueError):
+    """Data of another writer can't be decoded; correct or remove it."""
+
+
 class FencedError(VerbenagradeError):
     """Another instance sealed this instance's journal; restart the process."""
 
--- a/verbenagrade/platform/documents.py
+++ b/verbenagrade/platform/documents.py
@@ -4,11 +4,18 @@
 describes itself.
 """
 
-import math
+from typing import Annotated
 
 import msgspec
 
+from verbenagrade.exceptions import UndecodableError
 from verbenagrade.state.calls import CallKind
+from verbenagrade.state.decoding import (
+    Count,
+    Number,
+    decode_json,
+    is_address,
+)
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.documents import DocumentError, DocumentFormat
 from verbenagrade.state.routes import (
@@ -25,12 +32,30 @@
 MS_PER_S = 1000
 ENDPOINT_STATES = ("ready", "draining")
 
+MAX_SLOTS = 100_000
+"""Largest number of slots, far above the some 300 calls that an engine runs at once."""
+
+MAX_NAME_LENGTH = 200
+"""Largest length of the names in an entry, in characters. They become parts of headers
+and of the keys of rows."""
+
+MAX_TIME_MS = 1e11
+"""Largest time in a configuration in milliseconds, some three years."""
+
+MAX_WEIGHT = 1e9
+"""Largest weight of a service, so that sums of weights stay exact enough."""
+
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIME_MS)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=MAX_WEIGHT)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+StartTime = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+
 
 class WireShare(msgspec.Struct, frozen=True):
     """A service in ``traffic_split`` and its share of the route's calls."""
 
     service: str
-    weight: float = 1.0
+    weight: Weight = 1.0
 
 
 class WireRoute(msgspec.Struct, frozen=True):
@@ -43,16 +68,16 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 0
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 1000.0
+    priority: Number = 0
     service: str | None = None
     traffic_split: tuple[WireShare, ...] = ()
-    max_attempts: int = 1
+    max_attempts: Number = 1
     public: bool = False
     session_affinity: bool = False
     stream_resume: bool = False
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: Milliseconds = 0.0
 
 
 class WireEngine(msgspec.Struct, frozen=True):
@@ -63,8 +88,8 @@
     prompts share.
     """
 
-    stride: int = 1
-    kv_capacity_tokens: int = 0
+    stride: Count = 1
+    kv_capacity_tokens: Count = 0
 
 
 class WireService(msgspec.Struct, frozen=True):
@@ -72,7 +97,7 @@
 
     name: str
     health_path: str = "/"
-    max_connections: int = 100
+    max_connections: Number = 100
     engine: WireEngine | None = None
 
 
@@ -81,17 +106,17 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
-    prepaid: int | None = None
+    priority: Number | None = None
+    prepaid: Number | None = None
 
 
 class WireLimits(msgspec.Struct, frozen=True):
     """Size limits and timeouts for the requests of callers."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Milliseconds = 3000
+    idle_timeout_ms: Milliseconds = 15_000
 
 
 class WireConfiguration(msgspec.Struct, frozen=True):
@@ -100,7 +125,7 @@
     Calls need no API key if ``tenants`` is missing.
     """
 
-    version: int
+    version: Number
     routes: tuple[WireRoute, ...]
     services: tuple[WireService, ...]
     limits: WireLimits = WireLimits()
@@ -117,9 +142,9 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Slots
     state: str
-    born: float = 0
+    born: StartTime = 0
     version: str = ""
 
 
@@ -129,16 +154,21 @@
     Raises ``DocumentError`` if the document is not a valid configuration.
     """
     try:
-        wire = msgspec.json.decode(data, type=WireConfiguration)
+        wire = decode_json(data, WireConfiguration)
         routes = tuple(_decode_route(route) for route in wire.routes)
-    except (msgspec.DecodeError, KeyError) as error:
+    except (UndecodableError, KeyError) as error:
         raise DocumentError(f"configuration: {error}") from error
     return GatewayConfiguration(
         version=wire.version,
         routes=routes,
         services=tuple(_decode_service(service) for service in wire.services),
         workspaces=tuple(
-            WorkspaceEntry(w.name, w.api_keys, w.priority, w.prepaid)
+            WorkspaceEntry(
+                w.name,
+                w.api_keys,
+                w.priority,
+                None if w.prepaid is None else max(0, w.prepaid),
+            )
             for w in wire.tenants or ()
         ),
         limits=CallerLimits(
@@ -158,18 +188,14 @@
     endpoints can write to the same table.
     """
     try:
-        wire = msgspec.json.decode(data, type=WireEntry)
-    except msgspec.DecodeError as error:
-        raise DocumentError(f"entry {name}: {error}") from error
-    host, _, port = wire.address.partition(":")
-    valid_address_and_slots = host.count(".") == 3 and port.isdigit() and wire.slots > 0
-    if (
-        wire.state not in ENDPOINT_STATES
-        or not valid_address_and_slots
-        or not math.isfinite(wire.born)
-    ):
+        wire = decode_json(data, WireEntry)
+    except UndecodableError as error:
+        raise DocumentError(f"entry {name!a:.200}: {error}") from error
+    if wire.state not in ENDPOINT_STATES or not is_address(wire.address):
+        raise DocumentError(f"entry {name!a:.200}: invalid state or address")
+    if not all(map(_is_name, (name, wire.service))) or not _is_label(wire):
         raise DocumentError(
-            f"entry {name}: invalid state, address, slot count or start time"
+            f"entry {name!a:.200}: a name is missing, too long or not printable"
         )
     return EndpointEntry(
         name=name,
@@ -183,6 +209,18 @@
     )
 
 
+def _is_name(text: str) -> bool:
+    return bool(text) and _is_short(text)
+
+
+def _is_label(wire: WireEntry) -> bool:
+    return _is_short(wire.zone) and _is_short(wire.version)
+
+
+def _is_short(text: str) -> bool:
+    return len(text) <= MAX_NAME_LENGTH and text.isprintable()
+
+
 def _decode_route(wire: WireRoute) -> RouteEntry:
     shares = tuple(ServiceShare(s.service, s.weight) for s in wire.traffic_split)
     if not shares and wire.service is not None:
--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -24,6 +24,7 @@
 from verbenagrade.platform.store_format import (
     Page,
     WireRow,
+    WireRows,
     decode_address,
     decode_era,
     decode_row,
@@ -178,7 +179,7 @@
     ) -> list[Page]:
         """Fetches all pages of a range of rows; ``accept`` takes the first one."""
         pages = [await self._fetch_rows("rows-get", query, self.timeout_s, accept)]
-        while pages[-1].content.truncated and pages[-1].content.rows:
+        while pages[-1].content.truncated and _has_next(pages[-1].content):
             if len(pages) == max_pages:
                 raise PlatformError(
                     f"rows-get: more than {max_pages} pages in {query['table']};"
@@ -308,6 +309,19 @@
     return bytes(body)
 
 
+def _has_next(content: WireRows) -> bool:
+    """Returns whether a page tells the key of the next one.
+
+    Raises ``PlatformError`` if it does not because its keys can't be read: the rows
+    after it must not be taken for absent.
+    """
+    if not content.rows and content.left_out:
+        raise PlatformError(
+            f"no key of a page of {content.left_out} rows can be read; remove them"
+        )
+    return bool(content.rows)
+
+
 def _check_status(operation: str, response: WireResponse) -> None:
     if response.status != 200:
         raise PlatformError(
--- a/verbenagrade/platform/store_format.py
+++ b/verbenagrade/platform/store_format.py
@@ -1,11 +1,20 @@
 """Rows, transactions and eras as the platform's store encodes them."""
 
 import base64
+import json
+from typing import Annotated
 
 import msgspec
 
 from verbenagrade.coordination.ports import Check, EraMark, Row, Write
-from verbenagrade.exceptions import PlatformError
+from verbenagrade.events import Event, log_event
+from verbenagrade.exceptions import PlatformError, UndecodableError
+from verbenagrade.state.decoding import (
+    Count,
+    decode_json,
+    is_text,
+    parse_count,
+)
 
 __all__ = [
     "Page",
@@ -19,6 +28,14 @@
 ]
 
 MS_PER_S = 1000
+MAX_ERA_LENGTH = 40
+"""Length of the text that is kept of an era that can't be read, in characters."""
+
+
+MAX_TIME_MS = 1e14
+"""Largest time of the store's clock, in milliseconds, also if it shows Unix time."""
+
+Milliseconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
 
 
 class WireRow(msgspec.Struct, frozen=True):
@@ -28,7 +45,7 @@
     part: str = ""
     key: str = ""
     value: str = ""
-    ver: int = 0
+    ver: Count = 0
     removed: bool = False
 
     def path(self) -> str:
@@ -40,13 +57,14 @@
     """A response that contains rows.
 
     ``ver`` is the store's latest version, ``now_ms`` the time of its steady clock in
-    milliseconds.
+    milliseconds. ``left_out`` counts the rows whose keys can't be read.
     """
 
     rows: tuple[WireRow, ...] = ()
     truncated: bool = False
-    ver: int = 0
-    now_ms: float | None = None
+    left_out: int = 0
+    ver: Count = 0
+    now_ms: Milliseconds | None = None
 
     def store_time_s(self) -> float | None:
         """Returns the time of the store's clock in seconds, ``None`` if not told."""
@@ -94,8 +112,10 @@
     >>> decode_era("3"), decode_era("three")
     (EraMark(era=3, text='3'), EraMark(era=None, text='three'))
     """
-    valid = text.isascii() and text.isdecimal()
-    return EraMark(int(text) if valid else None, text)
+    try:
+        return EraMark(parse_count(text), text)
+    except UndecodableError:
+        return EraMark(None, text[:MAX_ERA_LENGTH])
 
 
 def encode_transaction(
@@ -127,7 +147,7 @@
 def decode_row(row: WireRow) -> Row:
     """Decodes a row."""
     try:
-        value = base64.b64decode(row.value)
+        value = base64.b64decode(row.value, validate=True)
     except ValueError:
         # Other processes can write invalid base64. The row is returned with an empty
         # value, which its consumer detects and logs.
@@ -136,8 +156,51 @@
 
 
 def decode_rows(body: bytes) -> WireRows:
-    """Decodes a response; raises ``PlatformError`` if it is not valid."""
+    """Decodes a response; raises ``PlatformError`` if it is not valid.
+
+    Keys and values come from many writers. A row whose key can't be read is left out,
+    and a value that can't be read is empty, which is not the same as an absent row.
+    """
     try:
-        return msgspec.json.decode(body, type=WireRows)
-    except msgspec.DecodeError as error:
-        raise PlatformError(f"invalid response from the store: {error}") from error
+        return decode_json(body, WireRows)
+    except UndecodableError:
+        pass
+    try:
+        return _decode_each_row(body)
+    except (ValueError, RecursionError, MemoryError) as error:
+        raise PlatformError(
+            f"invalid response from the store: {error}; retry when it is correct"
+        ) from error
+
+
+def _decode_each_row(body: bytes) -> WireRows:
+    """Decodes a response of which some row can't be read.
+
+    Unlike ``msgspec``, the standard library accepts incomplete surrogate pairs.
+    """
+    content = json.loads(body.decode("utf-8", "surrogateescape"))
+    if not isinstance(content, dict) or not isinstance(content.get("rows", []), list):
+        raise ValueError("it is no object with rows")
+    listed = content.pop("rows", [])
+    rows = tuple(row for item in listed for row in _decode_item(item))
+    return msgspec.structs.replace(
+        msgspec.convert(content, WireRows),
+        rows=rows,
+        left_out=len(listed) - len(rows),
+    )
+
+
+def _decode_item(item: object) -> tuple[WireRow, ...]:
+    """Decodes one row, an empty tuple if its key can't be read.
+
+    Raises ``ValueError`` if it has no valid version, which the store itself sets.
+    """
+    fields = item if isinstance(item, dict) else {}
+    address = [fields.get(name, "") for name in ("table", "part", "key")]
+    if not all(isinstance(name, str) and is_text(name) for name in address):
+        log_event(Event.ENTRY_IGNORED, row=ascii(address)[:200], reason="invalid key")
+        return ()
+    value = fields.get("value", "")
+    if not isinstance(value, str) or not value.isascii():
+        value = ""
+    return (msgspec.convert({**fields, "value": value}, WireRow),)
--- a/verbenagrade/protocol/chat.py
+++ b/verbenagrade/protocol/chat.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from verbenagrade.exceptions import InvalidRequestError
+from verbenagrade.exceptions import InvalidRequestError, UndecodableError
+from verbenagrade.state.decoding import decode_json
 
 __all__ = [
     "ChatChunk",
@@ -106,9 +107,9 @@
     Raises ``InvalidRequestError``, which names the field and the expected value.
     """
     try:
-        parsed = msgspec.json.decode(body, type=ChatBody)
-        options = msgspec.json.decode(body, type=dict[str, Any])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        parsed = decode_json(body, ChatBody)
+        options = decode_json(body, dict[str, Any])
+    except UndecodableError as error:
         raise InvalidRequestError(f"request body: {error}") from error
     if parsed.n != 1:
         raise InvalidRequestError("n: ask for one answer a request")
@@ -138,7 +139,7 @@
 
 def encode_engine_request(request: ChatRequest, completion_tokens: int) -> bytes:
     """Returns the body for the engine, which may generate ``completion_tokens``."""
-    options = msgspec.json.decode(request.body, type=dict[str, Any])
+    options = decode_json(request.body, dict[str, Any])
     options.pop("max_completion_tokens", None)
     options["max_tokens"] = completion_tokens
     if request.stream:
@@ -152,6 +153,6 @@
 def parse_chunk(data: bytes) -> ChatChunk:
     """Decodes a chunk of an engine's stream, or a complete response.
 
-    Raises ``msgspec.DecodeError`` if the data is neither.
+    Raises ``UndecodableError`` if the data is neither.
     """
-    return msgspec.json.decode(data, type=ChatChunk)
+    return decode_json(data, ChatChunk)
--- a/verbenagrade/protocol/peer.py
+++ b/verbenagrade/protocol/peer.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from verbenagrade.exceptions import PeerNoReplyError
+from verbenagrade.state.decoding import decode_msgpack, make_decoder
 from verbenagrade.state.held_grant import Earlier, Reserved
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.messages import (
@@ -76,7 +77,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_frame_decoder = msgspec.msgpack.Decoder(Frame)
+_decode_frame = make_decoder(Frame)
 
 
 def encode_frame(correlation: int, body: Message | Reply) -> bytes:
@@ -86,16 +87,20 @@
 
 
 def decode_frame(data: bytes) -> Frame:
-    """Decodes a frame but not its body, whose type depends on ``kind``."""
-    return _frame_decoder.decode(data)
+    """Decodes a frame but not its body, whose type depends on ``kind``.
+
+    Raises ``UndecodableError`` if it is none.
+    """
+    return _decode_frame(data)
 
 
 def decode_body(frame: Frame) -> Message | Reply:
     """Decodes the body of a frame.
 
-    Raises ``PeerNoReplyError`` for a kind that is unknown to this version.
+    Raises ``PeerNoReplyError`` for a kind that is unknown to this version, and
+    ``UndecodableError`` for a body that is not of its kind.
     """
     body_type = BODY_TYPES.get(frame.kind)
     if body_type is None:
         raise PeerNoReplyError(f"unknown message kind {frame.kind}; upgrade this VM")
-    return msgspec.msgpack.decode(frame.body, type=body_type)
+    return decode_msgpack(frame.body, body_type)
--- a/verbenagrade/protocol/relay.py
+++ b/verbenagrade/protocol/relay.py
@@ -18,6 +18,7 @@
 import msgspec
 
 from verbenagrade.protocol.calls import EndpointCall
+from verbenagrade.state.decoding import Number, Seconds, decode_msgpack
 
 __all__ = [
     "ORDER_HEADER",
@@ -74,15 +75,15 @@
 
     nonce: str
     recipient: str
-    valid_until_s: float
+    valid_until_s: Seconds
     incarnation: str
     request_digest: str
     call_digest: str
     endpoint: str
-    remaining_s: float
+    remaining_s: Seconds
     workspace: str
     resume_after: str
-    priority: int | None
+    priority: Number | None
     headers: tuple[tuple[str, str], ...] = ()
 
     def endpoint_call(self, elapsed_s: float) -> EndpointCall:
@@ -96,6 +97,12 @@
         )
 
 
+class WireOrder(RelayOrder, frozen=True):
+    """An order as it is sent, with the values of its headers as bytes."""
+
+    headers: tuple[tuple[str, bytes], ...] = ()
+
+
 class Digest(Protocol):
     """A digest of the standard library, with a key or without."""
 
@@ -154,12 +161,10 @@
 
 def decode_order(text: str) -> RelayOrder:
     """Returns the order of a header; raises ``ValueError`` if it is none."""
-    try:
-        content = msgspec.msgpack.decode(base64.b64decode(text, validate=True))
-        headers = tuple((name, _as_text(value)) for name, value in content["headers"])
-        return msgspec.convert(content | {"headers": headers}, RelayOrder)
-    except (msgspec.MsgspecError, TypeError, KeyError) as error:
-        raise ValueError(f"not an order: {error}") from error
+    wire = decode_msgpack(base64.b64decode(text, validate=True), WireOrder)
+    headers = tuple((name, _as_text(value)) for name, value in wire.headers)
+    content = msgspec.structs.asdict(wire) | {"headers": headers}
+    return RelayOrder(**content)
 
 
 def _as_bytes(value: str) -> bytes:
@@ -172,12 +177,12 @@
 
 def request_digest(method: str, path: str, body: bytes) -> str:
     """Returns a digest of the parts of a request that are not in its order."""
-    return _digest(sha256(), (method.encode(), path.encode(), body))
+    return _digest(sha256(), (method.encode(), _as_bytes(path), body))
 
 
 def prove_order(key: bytes, text: str) -> str:
     """Returns the proof of an encoded order."""
-    return _digest(hmac.new(key, b"order", sha256), (text.encode(),))
+    return _digest(hmac.new(key, b"order", sha256), (_as_bytes(text),))
 
 
 def verify_order(key: bytes, text: str, proof: str) -> bool:
@@ -188,7 +193,7 @@
 def prove_response(key: bytes, nonce: str, result: str) -> str:
     """Returns the proof of the response to an order."""
     algorithm = hmac.new(key, b"response", sha256)
-    return _digest(algorithm, (nonce.encode(), result.encode()))
+    return _digest(algorithm, (nonce.encode(), _as_bytes(result)))
 
 
 def verify_response(keys: Iterable[bytes], nonce: str, result: str, proof: str) -> bool:
@@ -205,4 +210,4 @@
 
 
 def _equal(expected: str, received: str) -> bool:
-    return hmac.compare_digest(expected.encode(), received.encode())
+    return hmac.compare_digest(expected.encode(), _as_bytes(received))
--- a/verbenagrade/protocol/resources.py
+++ b/verbenagrade/protocol/resources.py
@@ -2,9 +2,10 @@
 
 import msgspec
 
-from verbenagrade.exceptions import InvalidRequestError
+from verbenagrade.exceptions import InvalidRequestError, UndecodableError
 from verbenagrade.state.bills import Bill
 from verbenagrade.state.budgets import BudgetRow
+from verbenagrade.state.decoding import decode_json
 from verbenagrade.state.resources import Resource
 
 __all__ = [
@@ -82,8 +83,8 @@
     Raises ``InvalidRequestError``, which names the field and the expected value.
     """
     try:
-        return msgspec.json.decode(body, type=ApplyBody)
-    except msgspec.DecodeError as error:
+        return decode_json(body, ApplyBody)
+    except UndecodableError as error:
         raise InvalidRequestError(f"request body: {error}") from error
 
 
--- a/verbenagrade/state/crash_suspects.py
+++ b/verbenagrade/state/crash_suspects.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
-__all__ = ["MIN_SURVIVED_EVENTS", "CrashSuspects"]
+__all__ = ["MIN_SURVIVED_EVENTS", "TRIAL_NUMBERS", "CrashSuspects"]
 
 MIN_CRASHES = 3
 """Number of separate crashes after which a part is convicted if it alone has most."""
@@ -39,6 +39,9 @@
 """Times after a conviction, in seconds, at each of which the fleet sends one more call
 with the part. If it brings a response, the part was convicted wrongly."""
 
+TRIAL_NUMBERS = tuple(str(number) for number in range(len(TRIAL_AFTER_S)))
+"""The numbers of these calls, as they stand in the keys of rows."""
+
 SUSPICION_S = 600.0
 """Time after a crash until it no longer counts against any part, in seconds."""
 
--- a/verbenagrade/state/spending.py
+++ b/verbenagrade/state/spending.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from verbenagrade.state.allowance import Allowance
+from verbenagrade.state.decoding import Count, Number, Seconds
 
 __all__ = [
     "ClosedBudget",
@@ -51,11 +52,11 @@
     in each second. So may those that are granted later, beyond the ``granted`` ones.
     """
 
-    committed: int
-    free: int
-    at_once: int
-    per_s: int
-    granted: int
+    committed: Count
+    free: Count
+    at_once: Count
+    per_s: Count
+    granted: Number
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +66,8 @@
     This is ``spent`` while it was granted ``granted``, and more if it was granted more.
     """
 
-    spent: int
-    granted: int
+    spent: Count
+    granted: Number
 
     def spent_at_most(self, granted: int) -> int:
         """Returns the most that was spent if ``granted`` tokens were granted.
@@ -99,7 +100,7 @@
 
     incarnation: str
     address: str
-    reported_at_s: float
+    reported_at_s: Seconds
     budgets: Mapping[str, ReportedBudget] = field(default_factory=dict)
     closed: tuple[ClosedSpending, ...] = ()
 
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -4,14 +4,15 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
-import msgspec
 
 from verbenagrade.exceptions import (
+    UndecodableError,
     UpstreamFailedError,
     UpstreamTimeoutError,
     UpstreamUnreachableError,
 )
 from verbenagrade.protocol.chat import EngineRecord
+from verbenagrade.state.decoding import decode_json
 from verbenagrade.transport.sends import send_once
 
 __all__ = ["EndpointClient"]
@@ -84,6 +85,6 @@
             async with self.session.request(method, url, timeout=timeout) as response:
                 if not response.ok:
                     return None
-                return msgspec.json.decode(await response.read(), type=EngineRecord)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+                return decode_json(await response.read(), EngineRecord)
+        except (aiohttp.ClientError, TimeoutError, UndecodableError):
             return None
--- a/verbenagrade/transport/engine_response.py
+++ b/verbenagrade/transport/engine_response.py
@@ -4,11 +4,11 @@
 from contextlib import AbstractAsyncContextManager
 
 import aiohttp
-import msgspec
 
 from verbenagrade.coordination.admission_controller import Admission
 from verbenagrade.exceptions import (
     InvalidRequestError,
+    UndecodableError,
     UpstreamAttemptLostError,
     UpstreamFailedError,
 )
@@ -43,12 +43,16 @@
     def count(self, data: bytes) -> bool:
         """Counts one event; returns whether it is to be passed on to every caller.
 
-        A chunk that only reports usage is for callers that asked for it.
+        A chunk that only reports usage is for callers that asked for it. Raises
+        ``UpstreamFailedError`` if the event is no chunk.
         """
         if data == DONE:
             self.done = True
             return True
-        chunk = parse_chunk(data)
+        try:
+            chunk = parse_chunk(data)
+        except UndecodableError as error:
+            raise UpstreamFailedError(f"invalid event of a stream: {error}") from error
         if chunk.usage is not None:
             self.usage = chunk.usage
         if chunk.choices:
@@ -83,7 +87,7 @@
             _check_status(upstream, body, resumes)
         try:
             self.meter.usage = parse_chunk(body).usage or Usage()
-        except msgspec.DecodeError as error:
+        except UndecodableError as error:
             raise UpstreamFailedError(f"invalid chat completion: {error}") from error
         return body
 
--- a/verbenagrade/transport/gateway/holder_connection.py
+++ b/verbenagrade/transport/gateway/holder_connection.py
@@ -7,7 +7,11 @@
 
 import msgspec
 
-from verbenagrade.exceptions import PeerNoReplyError, PeerUnreachableError
+from verbenagrade.exceptions import (
+    PeerNoReplyError,
+    PeerUnreachableError,
+    UndecodableError,
+)
 from verbenagrade.protocol.reservations import (
     HOLDER,
     NONCE_BYTES,
@@ -22,6 +26,7 @@
     prove_side,
     verify_side,
 )
+from verbenagrade.state.decoding import decode_msgpack, make_decoder
 from verbenagrade.state.holders import HolderVm
 from verbenagrade.transport.frames import read_frame, write_frame
 
@@ -39,7 +44,7 @@
 """Timeout for a connection to a holder and the proofs of both sides, in seconds."""
 
 _encoder = msgspec.msgpack.Encoder()
-_results_decoder = msgspec.msgpack.Decoder(Results)
+_decode_results = make_decoder(Results)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,8 +94,8 @@
         try:
             while (frame := await self._next_frame()) is not None:
                 payload = self.received_seal.open(frame)
-                self.on_results(_results_decoder.decode(payload))
-        except (ValueError, msgspec.MsgspecError) as error:
+                self.on_results(_decode_results(payload))
+        except ValueError as error:
             reason = f"invalid frame: {error}"
         finally:
             self._end(reason)
@@ -121,7 +126,7 @@
     try:
         async with asyncio.timeout(CONNECT_S):
             return await _connect(holder, identity, keys[0], on_results, on_end)
-    except (OSError, TimeoutError, PeerNoReplyError, msgspec.MsgspecError) as error:
+    except (OSError, TimeoutError, PeerNoReplyError, UndecodableError) as error:
         raise PeerUnreachableError(
             f"{holder.vm} at {holder.address} is not reached ({error!r}); check the VM"
         ) from error
@@ -161,4 +166,4 @@
     frame = await read_frame(reader, MAX_RESERVATION_FRAME_BYTES)
     if frame is None:
         raise PeerNoReplyError("the connection was closed during the proofs")
-    return msgspec.msgpack.decode(frame, type=kind)
+    return decode_msgpack(frame, kind)
--- a/verbenagrade/transport/gateway/holder_server.py
+++ b/verbenagrade/transport/gateway/holder_server.py
@@ -23,6 +23,7 @@
     prove_side,
     verify_side,
 )
+from verbenagrade.state.decoding import decode_msgpack, make_decoder
 from verbenagrade.state.reservation_orders import (
     FreeTokens,
     ReserveOrder,
@@ -47,7 +48,7 @@
 seconds, and the number of probes without a reply that end it."""
 
 _encoder = msgspec.msgpack.Encoder()
-_orders_decoder = msgspec.msgpack.Decoder(Orders)
+_decode_orders = make_decoder(Orders)
 
 
 class HolderServer:
@@ -110,7 +111,7 @@
                 earlier.cancel()
             self.connections[spender] = task
             await self._carry_out(spender, key, reader, writer)
-        except (TimeoutError, ValueError, msgspec.MsgspecError) as error:
+        except (TimeoutError, ValueError) as error:
             _log_rejected(spender, writer, repr(error))
         except asyncio.CancelledError:
             # Replaced by a newer connection, or the process stops.
@@ -130,7 +131,7 @@
         frame = await read_frame(reader, MAX_RESERVATION_FRAME_BYTES)
         if frame is None:
             return None
-        hello = msgspec.msgpack.decode(frame, type=Hello)
+        hello = decode_msgpack(frame, Hello)
         keys = self.keys()
         if not keys:
             # This process has just started and has not read the key yet.
@@ -164,7 +165,7 @@
         while (frame := await read_frame(reader, MAX_RESERVATION_FRAME_BYTES)) is not (
             None
         ):
-            orders = _orders_decoder.decode(received.open(frame))
+            orders = _decode_orders(received.open(frame))
             reply(self._results(spender, orders, reply))
 
     def _results(
--- a/verbenagrade/transport/peer_client.py
+++ b/verbenagrade/transport/peer_client.py
@@ -7,13 +7,18 @@
 import msgspec
 
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PeerNoReplyError, PeerUnreachableError
+from verbenagrade.exceptions import (
+    PeerNoReplyError,
+    PeerUnreachableError,
+    UndecodableError,
+)
 from verbenagrade.protocol.peer import (
     Hello,
     decode_body,
     decode_frame,
     encode_frame,
 )
+from verbenagrade.state.decoding import decode_msgpack
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.membership import Members, MemberVm
 from verbenagrade.state.messages import Message, Reply
@@ -76,7 +81,7 @@
                 future = self.pending.get(frame.correlation)
                 if future is not None and not future.done():
                     future.set_result(reply)
-        except (msgspec.DecodeError, PeerNoReplyError) as error:
+        except (UndecodableError, PeerNoReplyError) as error:
             self.on_undecodable()
             log_event(Event.PEER_FRAME_INVALID, vm=self.instance.vm, reason=str(error))
         finally:
@@ -144,7 +149,7 @@
         try:
             async with asyncio.timeout(self.timeout_s):
                 return await self._handshake(member)
-        except (OSError, TimeoutError, msgspec.DecodeError) as error:
+        except (OSError, TimeoutError, UndecodableError) as error:
             raise PeerUnreachableError(
                 f"{member.vm} at {member.address} cannot be reached; check the VM"
             ) from error
@@ -160,7 +165,7 @@
             data = await read_frame(reader)
             if data is None:
                 raise ConnectionResetError("closed during the handshake")
-            peer_hello = msgspec.msgpack.decode(data, type=Hello)
+            peer_hello = decode_msgpack(data, Hello)
         except BaseException:
             writer.close()
             raise
--- a/verbenagrade/transport/peer_server.py
+++ b/verbenagrade/transport/peer_server.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from verbenagrade.exceptions import VerbenagradeError
+from verbenagrade.exceptions import UndecodableError, VerbenagradeError
 from verbenagrade.protocol.peer import (
     Frame,
     Hello,
@@ -13,6 +13,7 @@
     decode_frame,
     encode_frame,
 )
+from verbenagrade.state.decoding import decode_msgpack
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.membership import Members
 from verbenagrade.state.messages import Message, Reply
@@ -78,8 +79,8 @@
         if data is None:
             return False
         try:
-            peer_hello = msgspec.msgpack.decode(data, type=Hello)
-        except msgspec.DecodeError:
+            peer_hello = decode_msgpack(data, Hello)
+        except UndecodableError:
             return False
         self.members.record_instance(peer_hello.instance)
         own = Hello(self.own, self.members.own.data_centre)
--- a/verbenagrade/transport/platform.py
+++ b/verbenagrade/transport/platform.py
@@ -15,7 +15,7 @@
     VmList,
     Write,
 )
-from verbenagrade.exceptions import PlatformError
+from verbenagrade.exceptions import PlatformError, UndecodableError
 from verbenagrade.protocol.platform import (
     ReadReply,
     ReadRequest,
@@ -26,6 +26,7 @@
     VmListReply,
 )
 from verbenagrade.settings import PlatformSettings
+from verbenagrade.state.decoding import decode_json
 
 __all__ = ["object_store_port", "table_port", "vm_list_port"]
 
@@ -156,6 +157,6 @@
 
 def _decode(data: bytes, response_type: type[Reply]) -> Reply:
     try:
-        return msgspec.json.decode(data, type=response_type)
-    except msgspec.DecodeError as error:
+        return decode_json(data, response_type)
+    except UndecodableError as error:
         raise PlatformError(f"invalid response from the platform: {error}") from error
