Refuse calls whose headers hold a negative number or are not UTF-8

A call with `Token-Count: 10,-50000` was served without a budget being asked, and one with `-50000,50010` reserved 10 tokens and was charged none for its prompt and events: a workspace could get more than was prepaid. Callers got 500 for a part of a prompt with bytes that are not UTF-8, and for such a key on a public route, and 502 for such a Request-Id and for `Deadline-Ms: nan`.

The cause: numbers were taken as int() and float() read them, which accept signs, underscores, digits of other scripts, nan and inf; texts were taken with surrogates, which stand for odd bytes, and failed later when they were hashed, stored or logged.

Numbers in a caller's headers are ASCII digits now, at most 15 for counts, and times are finite and not negative; texts that are used here have to be UTF-8. All else gets 400 and reaches neither a budget nor an endpoint; a key of other bytes stays one that is not known (401). A VM that passes calls on checks the same before it takes an order. A log line whose field can't be encoded has it escaped, whatever logged it.

--- a/verbenagrade/events/log.py
+++ b/verbenagrade/events/log.py
@@ -18,6 +18,10 @@
 """Libraries whose info messages repeat what the events already log for each call."""
 
 
+MAX_ESCAPED = 500
+"""Largest length of a field that could not be encoded as it is, in characters."""
+
+
 def log_event(event: Event, **fields: object) -> None:
     """Logs an event.
 
@@ -51,8 +55,13 @@
         "event": event.number if event else 0,
         "message": record.message,
     }
-    line.update(record.extra["fields"] or {})
-    return msgspec.json.encode(line, enc_hook=str).decode()
+    fields = record.extra["fields"] or {}
+    try:
+        return msgspec.json.encode({**line, **fields}, enc_hook=str).decode()
+    except (ValueError, OverflowError, RecursionError):
+        # Text that is not UTF-8, or a number that is too large for JSON.
+        escaped = {name: ascii(value)[:MAX_ESCAPED] for name, value in fields.items()}
+        return msgspec.json.encode({**line, **escaped}).decode()
 
 
 def set_up_rate_limited_logging(level: str, process: str, lines_per_s: float) -> None:
--- a/verbenagrade/platform/headers.py
+++ b/verbenagrade/platform/headers.py
@@ -5,8 +5,10 @@
 
 from multidict import CIMultiDict
 
+from verbenagrade.exceptions import UndecodableError
 from verbenagrade.protocol.calls import CallFormat, EndpointCall, ResponseHead
 from verbenagrade.state.calls import CallHead, PromptPart, TokenBound
+from verbenagrade.state.decoding import is_text, parse_count
 
 __all__ = ["CALL_FORMAT"]
 
@@ -52,29 +54,31 @@
 
 BEARER_PREFIX = "bearer "
 
+MAX_NUMBER = 1e11
+"""Largest number that is taken from a header, some three years in milliseconds."""
+
 
 def read_head(headers: Mapping[str, str], path: str) -> CallHead:
     """Decodes the headers of a caller's request.
 
-    Raises ``ValueError`` if a numeric header is not a number.
+    Raises ``ValueError`` if a number can't be read or is negative, or if a text is not
+    UTF-8.
     """
     authorization = headers.get("Authorization", "")
     key = ""
     if authorization.lower().startswith(BEARER_PREFIX):
         key = authorization[len(BEARER_PREFIX) :].strip()
-    deadline_ms = headers.get("Deadline-Ms")
-    deadline_s = float(deadline_ms) / MS_PER_S if deadline_ms else DEFAULT_DEADLINE_S
     return CallHead(
-        call_id=headers.get("Request-Id", ""),
+        call_id=_read_text(headers, "Request-Id"),
         host=headers.get("Host", "").partition(":")[0],
         path=path,
-        timeout_s=deadline_s,
+        timeout_s=_read_deadline_s(headers),
         key=key,
-        model=headers.get("Model", ""),
-        tokens=_parse_token_bound(headers.get("Token-Count", "")),
-        prompt=_parse_prompt_parts(headers.get("Prompt-Prefix", "")),
-        resume_after=headers.get("Last-Event-Id", ""),
-        resumed_call=headers.get("Resumes", ""),
+        model=_read_text(headers, "Model"),
+        tokens=_read_token_bound(headers),
+        prompt=_read_prompt_parts(headers),
+        resume_after=_read_text(headers, "Last-Event-Id"),
+        resumed_call=_read_text(headers, "Resumes"),
     )
 
 
@@ -152,24 +156,56 @@
 
 
 def _parse_number(text: str) -> float | None:
-    """Returns a finite number that is not negative, ``None`` if it is none."""
+    """Returns a finite number that is not negative, ``None`` if it is none.
+
+    It is at most ``MAX_NUMBER``.
+    """
     try:
-        number = float(text)
+        number = float(text) if text.isascii() and "_" not in text else -1.0
     except ValueError:
         return None
-    return number if 0.0 <= number < math.inf else None
+    return min(number, MAX_NUMBER) if 0.0 <= number < math.inf else None
 
 
-def _parse_token_bound(text: str) -> TokenBound:
+def _read_text(headers: Mapping[str, str], name: str) -> str:
+    text = headers.get(name, "")
+    if not is_text(text):
+        raise ValueError(f"{name} is not UTF-8; encode it as such")
+    return text
+
+
+def _read_deadline_s(headers: Mapping[str, str]) -> float:
+    text = headers.get("Deadline-Ms")
+    if not text:
+        return DEFAULT_DEADLINE_S
+    deadline_ms = _parse_number(text)
+    if deadline_ms is None:
+        raise ValueError("Deadline-Ms is no time; send milliseconds")
+    return deadline_ms / MS_PER_S
+
+
+def _read_token_bound(headers: Mapping[str, str]) -> TokenBound:
+    text = headers.get("Token-Count")
     if not text:
         return TokenBound()
     prompt, _, output = text.partition(",")
-    return TokenBound(int(prompt), int(output or 0))
+    try:
+        return TokenBound(parse_count(prompt.strip()), _parse_optional(output))
+    except UndecodableError as error:
+        raise ValueError(f"Token-Count: {error}") from error
 
 
-def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
+def _read_prompt_parts(headers: Mapping[str, str]) -> tuple[PromptPart, ...]:
     parts = []
-    for entry in filter(None, text.split(",")):
+    for entry in filter(None, _read_text(headers, "Prompt-Prefix").split(",")):
         name, _, tokens = entry.strip().partition(":")
-        parts.append(PromptPart(name, int(tokens or 0)))
+        try:
+            parts.append(PromptPart(name, _parse_optional(tokens)))
+        except UndecodableError as error:
+            raise ValueError(f"Prompt-Prefix: {error}") from error
     return tuple(parts)
+
+
+def _parse_optional(text: str) -> int:
+    """Returns the count of a text, 0 if it is empty."""
+    return parse_count(text.strip()) if text else 0
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -50,7 +50,7 @@
         """A hash of path, key and body, which is the same when a caller retries."""
         hasher = xxhash.xxh3_128()
         for part in (self.head.path, "\0", self.head.key, "\0"):
-            hasher.update(part.encode())
+            hasher.update(part.encode("utf-8", "surrogateescape"))
         hasher.update(self.body)
         return hasher.hexdigest()
 
--- a/verbenagrade/transport/gateway/refusals.py
+++ b/verbenagrade/transport/gateway/refusals.py
@@ -54,7 +54,7 @@
 """``Retry-After`` range, in seconds, for conditions that take time to recover, such
 as an endpoint restart."""
 
-INVALID_HEADER = Refusal(400, "a header can't be read; send a number")
+INVALID_HEADER = Refusal(400, "a header can't be read; send digits, or UTF-8")
 UNKNOWN_KEY = Refusal(401, "the key is not known; use a key of a workspace")
 BUDGET_EXHAUSTED = Refusal(402, "the prepaid budget doesn't cover the call; top up")
 UNKNOWN_ROUTE = Refusal(404, "no route has this host and path")
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -103,6 +103,7 @@
     key = next((key for key in keys if verify_order(key, text, proof)), None)
     try:
         order = decode_order(text)
+        core.call_format.read_head(dict(order.headers), request.raw_path)
     except ValueError as error:
         log_event(Event.RELAY_REJECTED, vm=request.remote, reason=str(error))
         return None
