--- a/verbenagrade/coordination/default_versions.py
+++ b/verbenagrade/coordination/default_versions.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from verbenagrade.coordination.codec import decode_or_ignore
 from verbenagrade.coordination.crash_rows import split_key
 from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
 from verbenagrade.coordination.permits import StoreTime
@@ -23,6 +24,7 @@
     Write,
 )
 from verbenagrade.events import Event, log_event
+from verbenagrade.state.decoding import Seconds
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.stream_versions import (
     MAX_ENDPOINTS_AGE_S,
@@ -44,7 +46,7 @@
     """A default version, and since when it is one on the store's clock, in seconds."""
 
     version: str
-    since_s: float
+    since_s: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,11 +188,9 @@
         if row.version <= self.row_versions.get(service, ABSENT):
             return
         self.row_versions[service] = row.version
-        try:
-            content = msgspec.json.decode(row.value, type=DefaultRow)
-        except msgspec.DecodeError as error:
+        content = decode_or_ignore(row, DefaultRow)
+        if content is None:
             self.unreadable.add(service)
-            log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
             return
         self.unreadable.discard(service)
         known = self.known.get(service)
--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -17,6 +17,7 @@
 
 from verbenagrade.coordination.crash_rows import (
     decode_crash_time,
+    decode_trial,
     encode_crash,
     split_key,
 )
@@ -340,7 +341,10 @@
         if self._is_expired(at):
             self._remove_expired(row.key)
             return
-        if not self.memory.record(kind, name, endpoint, at):
+        if kind == "trial":
+            if (number := decode_trial(row.key, endpoint)) is not None:
+                self.memory.of(name).record_trial(name, number)
+        elif not self.memory.record(kind, name, endpoint, at):
             if row.key not in self.crash_times:
                 self._remove_row(row.key)
             return
--- a/verbenagrade/coordination/stream_records.py
+++ b/verbenagrade/coordination/stream_records.py
@@ -14,10 +14,12 @@
 import msgspec
 import xxhash
 
+from verbenagrade.coordination.codec import log_ignored
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Clock, PlatformStore, Row, Write
 from verbenagrade.events import Event, log_event
-from verbenagrade.exceptions import PlatformError, UnreadableRowError
+from verbenagrade.exceptions import PlatformError, UndecodableError, UnreadableRowError
+from verbenagrade.state.decoding import Seconds, decode_json
 
 __all__ = ["STREAM_TABLE", "StreamRecords"]
 
@@ -48,7 +50,7 @@
     """A version, and the time of the record on the store's clock, in seconds."""
 
     version: str
-    at_s: float
+    at_s: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,7 +191,7 @@
             return now + offset_s - _decode(row).at_s
         except UnreadableRowError as error:
             if row.key not in self.unreadable:
-                log_event(Event.ENTRY_IGNORED, endpoint=row.key, reason=str(error))
+                log_ignored(row.key, str(error))
             return now - self.unreadable.setdefault(row.key, now)
 
     async def _remove(self, keys: list[str]) -> None:
@@ -216,8 +218,8 @@
 def _decode(row: Row) -> StreamRow:
     """Raises ``UnreadableRowError`` if the row can't be decoded."""
     try:
-        return msgspec.json.decode(row.value, type=StreamRow)
-    except msgspec.DecodeError as error:
+        return decode_json(row.value, StreamRow)
+    except UndecodableError as error:
         raise UnreadableRowError(
             f"{row.key}: {error}; the row is removed when it is old"
         ) from error
--- a/verbenagrade/state/crash_memory.py
+++ b/verbenagrade/state/crash_memory.py
@@ -21,17 +21,13 @@
         self.suspects = CrashSuspects()
 
     def record(self, kind: str, name: str, endpoint: str, at: float) -> bool:
-        """Records what a row says; a crash was ``at`` a time in seconds.
+        """Records a crash, ``crash`` or ``suspect``, ``at`` a time in seconds.
 
         Returns false if the crash is known, or no longer counts.
         """
         if kind == "crash":
             return self.poison_calls.record_crash(name, endpoint, at)
-        if kind == "suspect":
-            return self.suspects.record_crash(name, endpoint, at)
-        if endpoint.isdecimal():
-            self.of(name).record_trial(name, int(endpoint))
-        return True
+        return self.suspects.record_crash(name, endpoint, at)
 
     def forget(self, kind: str, name: str, endpoint: str) -> None:
         """Forgets what a row said that was removed."""
--- a/verbenagrade/state/crash_suspects.py
+++ b/verbenagrade/state/crash_suspects.py
@@ -13,6 +13,7 @@
     "MIN_SURVIVED_EVENTS",
     "SEPARATE_CRASHES_S",
     "TRIAL_AFTER_S",
+    "TRIAL_NUMBERS",
     "CrashSuspects",
 ]
 
@@ -44,6 +45,9 @@
 """Times after a conviction, in seconds, at each of which the fleet sends one more call
 with the part. If it brings a response, the part was convicted wrongly."""
 
+TRIAL_NUMBERS = tuple(str(number) for number in range(len(TRIAL_AFTER_S)))
+"""The numbers of these calls, as they stand in the keys of rows."""
+
 SUSPICION_S = 600.0
 """Time after a crash until it no longer counts against any part, in seconds."""
 
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -6,14 +6,15 @@
 from dataclasses import replace
 
 import aiohttp
-import msgspec
 
 from verbenagrade.exceptions import (
+    UndecodableError,
     UpstreamFailedError,
     UpstreamTimeoutError,
     UpstreamUnreachableError,
 )
 from verbenagrade.protocol.chat import EngineRecord
+from verbenagrade.state.decoding import decode_json
 from verbenagrade.state.response_end import (
     PROCESS_EXIT_S,
     EndVerdict,
@@ -121,6 +122,6 @@
             async with self.session.request(method, url, timeout=timeout) as response:
                 if not response.ok:
                     return None
-                return msgspec.json.decode(await response.read(), type=EngineRecord)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+                return decode_json(await response.read(), EngineRecord)
+        except (aiohttp.ClientError, TimeoutError, UndecodableError):
             return None
