--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -59,7 +59,7 @@
 of the table finds it again."""
 
 MAX_ROWS_PER_COMMIT = 50
-CRASH_KEY_PARTS = 3
+CRASH_NAMES = 2
 
 
 class GatewayFleet:
@@ -239,7 +239,7 @@
         self.removals.pop(key, None)
         self.crash_times.pop(key, None)
         kind, *names = split_key(key, FLEET_TABLE)
-        if len(names) != CRASH_KEY_PARTS - 1:
+        if len(names) != CRASH_NAMES:
             return
         self.memory.forget(kind, *names)
 
@@ -324,9 +324,7 @@
         kind, *names = split_key(row.key, FLEET_TABLE)
         if kind == "vm":
             self._apply_presence("/".join(names), row)
-        elif (
-            kind in ("crash", "suspect", "trial") and len(names) == CRASH_KEY_PARTS - 1
-        ):
+        elif kind in ("crash", "suspect", "trial") and len(names) == CRASH_NAMES:
             self._apply_crash(row, kind, *names)
 
     def _apply_presence(self, vm: str, row: Row) -> None:
@@ -339,8 +337,7 @@
             return
         at = decode_crash_time(row, self.store_time_offset_s, self.clock())
         if self._is_expired(at):
-            self._remove_expired(row.key)
-            return
+            return self._remove_expired(row.key)
         if kind == "trial":
             if (number := decode_trial(row.key, endpoint)) is not None:
                 self.memory.of(name).record_trial(name, number)
