Take no close of our own for the end of a response

A planned stop that ran past its grace closed the connections to endpoints while calls were in flight, and the end of a response without length and chunks that followed counted as the endpoint's. The process now marks that it closes, before it does, and judge_end takes that for a break.

--- a/verbenagrade/platform/tests/test_response_ends.py
+++ b/verbenagrade/platform/tests/test_response_ends.py
@@ -40,20 +40,22 @@
     complete: bool
 
 
-async def start(testbed, way, max_attempts, *handlers) -> None:
+async def start(
+    testbed, way, max_attempts, *handlers, timeout_ms=TIMEOUT_MS, grace_s=8
+) -> None:
     """Starts a gateway with two endpoints that share the handlers, in their order."""
-    streaming = {"timeout_ms": TIMEOUT_MS, "max_attempts": max_attempts}
+    streaming = {"timeout_ms": timeout_ms, "max_attempts": max_attempts}
     routes = [
         route("/resume/", "streaming", stream_resume=True, **streaming),
         route("/stream/", "streaming", stream_resume=False, **streaming),
-        route("/once/", "unsafe", timeout_ms=TIMEOUT_MS, max_attempts=1),
-        route("/safe/", "safe", timeout_ms=TIMEOUT_MS, max_attempts=max_attempts),
+        route("/once/", "unsafe", timeout_ms=timeout_ms, max_attempts=1),
+        route("/safe/", "safe", timeout_ms=timeout_ms, max_attempts=max_attempts),
     ]
     shared = list(handlers)
     for _ in range(2):
         endpoint = await testbed.add_endpoint()
         endpoint.handlers = shared
-    bounds = replace(BOUNDS, retry_slack=RETRY_SLACK)
+    bounds = replace(BOUNDS, retry_slack=RETRY_SLACK, grace_s=grace_s)
     document = configuration_document(routes=routes, tenants=None)
     await testbed.start(document, bounds=bounds)
     await testbed.wait_until_ready()
@@ -211,7 +213,9 @@
 @pytest.mark.parametrize("way", WAYS)
 async def test_stream_looks_complete_only_if_it_is(testbed, way, attempt):
     await start(testbed, way, 2 if attempt == "later" else 1, stream(LAST_EVENT))
-    await testbed.wait_until(lambda: testbed.core.versions.defaults, DEFAULT_KNOWN_S)
+    await testbed.wait_until(
+        lambda: testbed.core.versions.defaults.known, DEFAULT_KNOWN_S
+    )
     endings = [e for e in ENDINGS if attempt == "first" or e.close != "silence"]
     heard = await hear_each(testbed, "/resume/x", attempt, endings)
     assert not wrong(endings, heard, 3 if attempt == "take-up" else 1)
--- a/verbenagrade/state/response_end.py
+++ b/verbenagrade/state/response_end.py
@@ -38,6 +38,7 @@
     """
 
     COMPLETE = "complete"
+    CLOSED_HERE = "this VM has closed the connection"
     ENDPOINT_UNKNOWN = "it is not known whether the endpoint lives"
     ENDPOINT_GONE = "the endpoint accepts no connections after the end of its response"
     INSIDE_EVENT = "the stream ended in the middle of an event"
@@ -53,7 +54,8 @@
     that this response has brought, not those of earlier attempts, and ``inside_event``
     is set if the last one is incomplete. ``reset`` tells whether the endpoint's
     connection ended with an error. ``endpoint_lives`` tells whether the endpoint
-    accepts connections since the end, ``None`` if that is not known.
+    accepts connections since the end, ``None`` if that is not known. ``closed_here``
+    tells that this process closes its connections to endpoints.
     """
 
     framing: Framing
@@ -62,6 +64,7 @@
     events: int = 0
     inside_event: bool = False
     endpoint_lives: bool | None = None
+    closed_here: bool = False
 
 
 def judge_end(end: ResponseEnd) -> EndVerdict:
@@ -76,6 +79,8 @@
         return EndVerdict.INSIDE_EVENT
     if end.framing is not Framing.CONNECTION:
         return EndVerdict.COMPLETE
+    if end.closed_here:
+        return EndVerdict.CLOSED_HERE
     if end.reset:
         return EndVerdict.RESET
     if end.streams and not end.events:
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -119,7 +119,8 @@
     """The state of a gateway: configuration, endpoints, budgets and counters.
 
     While ``stopping`` is set, the readiness check fails and responses close their
-    connections. While ``rejecting_calls`` is set, new calls are refused.
+    connections. While ``rejecting_calls`` is set, new calls are refused. Once
+    ``endpoints_closed`` is set, connections to endpoints are closed from here.
     """
 
     def __init__(
@@ -170,6 +171,7 @@
         self.started_at = clock()
         self.stopping = False
         self.rejecting_calls = False
+        self.endpoints_closed = False
         self.background: set[asyncio.Task[None]] = set()
         self.crash_checks: dict[str, CrashCheck] = {}
 
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -330,8 +330,8 @@
         await self._wait_until_idle(deadline)
         self.budgets.close()
         log_event(Event.PROCESS_STOPPED, in_flight=core.in_flight)
-        await self.endpoint_session.close()
-        await self.store_session.close()
+        core.endpoints_closed = True
+        await asyncio.gather(self.endpoint_session.close(), self.store_session.close())
 
     async def _wait_until_idle(self, deadline: float) -> None:
         """Waits until no call is in flight, at most until ``deadline``."""
--- a/verbenagrade/transport/gateway/response_end.py
+++ b/verbenagrade/transport/gateway/response_end.py
@@ -25,11 +25,13 @@
     Asks the endpoint for a connection, up to the deadline of the call, if it matters
     whether it lives. ``entry`` is ``None`` if another VM has the endpoint's connection.
     """
+    end = replace(end, closed_here=core.endpoints_closed)
     verdict = judge_end(end)
     if verdict is EndVerdict.ENDPOINT_UNKNOWN and entry is not None:
         await asyncio.sleep(PROCESS_EXIT_S)
         timeout_s = min(core.settings.tuning.connect_s, deadline - core.clock())
         lives = await accepts_connection(core, entry, max(0.0, timeout_s))
-        verdict = judge_end(replace(end, endpoint_lives=lives))
+        end = replace(end, endpoint_lives=lives)
+        verdict = judge_end(replace(end, closed_here=core.endpoints_closed))
     if verdict is not EndVerdict.COMPLETE:
         raise UpstreamFailedError(verdict.value)
