Avoid no endpoint that a call had no time left to ask

A body without a length that ended some 30 ms before the deadline left no time for a connection to its endpoint, which counted as gone and was avoided by other calls. The call now ends as timed out, and asking for the end avoids no endpoint.

--- a/verbenagrade/transport/gateway/reach.py
+++ b/verbenagrade/transport/gateway/reach.py
@@ -12,7 +12,13 @@
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.response_ends import try_connection
 
-__all__ = ["accepts_connection", "connection_error", "is_cut_off", "watch_reach"]
+__all__ = [
+    "accepts_connection",
+    "connection_error",
+    "is_cut_off",
+    "open_and_close",
+    "watch_reach",
+]
 
 SURVEYED_ENDPOINTS = 3
 """Number of other endpoints that are asked for a connection after one has failed."""
@@ -40,7 +46,7 @@
     some time.
     """
     started_at = core.clock()
-    error = await _try_connection(entry.address, timeout_s)
+    error = await open_and_close(entry.address, timeout_s)
     if error is None:
         core.reach.record_connected(started_at)
         return None
@@ -87,7 +93,7 @@
     timeout_s = core.settings.tuning.connect_s
     started_at = core.clock()
     errors = await asyncio.gather(
-        *(_try_connection(entry.address, timeout_s) for entry in entries)
+        *(open_and_close(entry.address, timeout_s) for entry in entries)
     )
     reached = None in errors
     if reached:
@@ -115,7 +121,7 @@
             log_event(Event.WAY_REGAINED, endpoints=[entry.name for entry in sample])
 
 
-async def _try_connection(address: str, timeout_s: float) -> Exception | None:
+async def open_and_close(address: str, timeout_s: float) -> Exception | None:
     """Tries to connect to an address ``HOST:PORT``; returns the error."""
     host, _, port = address.rpartition(":")
     return await try_connection(host, int(port), timeout_s)
--- a/verbenagrade/transport/gateway/response_end.py
+++ b/verbenagrade/transport/gateway/response_end.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import replace
 
-from verbenagrade.exceptions import UpstreamFailedError
+from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.response_end import (
     PROCESS_EXIT_S,
@@ -12,7 +12,7 @@
     judge_end,
 )
 from verbenagrade.transport.gateway.core import GatewayCore
-from verbenagrade.transport.gateway.reach import accepts_connection
+from verbenagrade.transport.gateway.reach import open_and_close
 
 __all__ = ["check_end"]
 
@@ -24,14 +24,29 @@
 
     Asks the endpoint for a connection, up to the deadline of the call, if it matters
     whether it lives. ``entry`` is ``None`` if another VM has the endpoint's connection.
+    Raises ``UpstreamTimeoutError`` if there is no time left to ask.
     """
     end = replace(end, closed_here=core.endpoints_closed)
     verdict = judge_end(end)
     if verdict is EndVerdict.ENDPOINT_UNKNOWN and entry is not None:
-        await asyncio.sleep(PROCESS_EXIT_S)
-        timeout_s = min(core.settings.tuning.connect_s, deadline - core.clock())
-        lives = await accepts_connection(core, entry, max(0.0, timeout_s))
-        end = replace(end, endpoint_lives=lives)
+        end = replace(end, endpoint_lives=await _lives(core, entry, deadline))
         verdict = judge_end(replace(end, closed_here=core.endpoints_closed))
     if verdict is not EndVerdict.COMPLETE:
         raise UpstreamFailedError(verdict.value)
+
+
+async def _lives(core: GatewayCore, entry: EndpointEntry, deadline: float) -> bool:
+    """Returns whether an endpoint accepts connections after the end of a response.
+
+    Raises ``UpstreamTimeoutError`` if the deadline leaves too little time to tell.
+    """
+    connect_s = core.settings.tuning.connect_s
+    left_s = deadline - core.clock() - PROCESS_EXIT_S
+    if left_s > 0:
+        await asyncio.sleep(PROCESS_EXIT_S)
+        error = await open_and_close(entry.address, min(connect_s, left_s))
+        if error is None:
+            return True
+        if left_s >= connect_s or not isinstance(error, TimeoutError):
+            return False
+    raise UpstreamTimeoutError("no time left to ask whether the endpoint lives")
