Reset a response that an unexpected error ends for callers without chunks

An unexpected error after the head of a response closed the caller's connection in order, which looks like the end of the body to a caller of HTTP/1.0. Such an error now aborts the response as every other failure does.

--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -73,9 +73,12 @@
         return f"{upstream.media_type} on resumption" if len(types) > 1 else ""
 
     def abort(self) -> None:
-        """Closes the connection, so that the caller sees an incomplete response."""
+        """Closes the connection, so that the caller sees an incomplete response.
+
+        Does nothing if no response has begun.
+        """
         transport = self.request.transport
-        if transport is None:
+        if transport is None or self.response is None:
             return
         log_event(
             Event.RESPONSE_ABORTED,
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -88,6 +88,9 @@
         return _fail_call(core, call, progress, writer, refusal)
     try:
         return await _try_endpoints(core, call, progress, writer)
+    except Exception:
+        writer.abort()
+        raise
     finally:
         end_record(progress)
 
