Join no parts of two error responses

An error response of more than 1 MiB to a stream that may be resumed, which broke off after its first part was passed on, was followed by the error of the next endpoint, and the whole looked complete. A body that is no stream is never continued now, whatever its route.

--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -41,6 +41,8 @@
 
     Nothing is sent, not even the status line, before the first bytes of an
     endpoint's response are there. ``media_type`` is that of the first endpoint's body.
+    ``has_partial_body`` is set once a part of a body was sent that is no stream, which
+    no other response can go on.
     """
 
     def __init__(self, core: GatewayCore, request: web.BaseRequest, call: Call) -> None:
@@ -49,6 +51,7 @@
         self.call = call
         self.response: web.StreamResponse | None = None
         self.media_type = ""
+        self.has_partial_body = False
 
     async def write(self, upstream: UpstreamResponse, data: bytes) -> None:
         """Writes bytes, after the status and headers if they were not yet sent."""
@@ -116,6 +119,7 @@
     while data := await upstream.read_chunk(_remaining_s(core, call)):
         body += data
         if writer.response is not None or len(body) > MAX_BUFFERED_BYTES:
+            writer.has_partial_body = True
             await writer.write(upstream, bytes(body))
             body.clear()
     await upstream.check_end(streams=False)
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -100,8 +100,7 @@
 ) -> ForwardResult:
     """Sends a call to one endpoint after the other, as long as that is allowed."""
     while True:
-        cause = find_cause(core, call) if progress.placements else ""
-        if cause:
+        if progress.placements and (cause := find_cause(core, call)):
             log_event(Event.CALL_CONVICTED, call=call.head.call_id, cause=cause)
             return _fail_call(core, call, progress, writer, refusals.POISON_CALL)
         entry = await _choose_endpoint(core, call, progress)
@@ -111,8 +110,7 @@
         try:
             response = await _send(core, call, progress, writer, entry)
         except SendFailedError as error:
-            partly_delivered = writer.response is not None and not call.kind.streams
-            if partly_delivered or not _prepare_retry(
+            if writer.has_partial_body or not _prepare_retry(
                 core, call, progress, entry, error
             ):
                 refusal = _refusal_after_failure(core, call, progress)
