Know no media type of a body to which a VM has added one

A rest without a media type went on a stream directly, but not through another VM, whose HTTP library adds application/octet-stream. Found by the review; test_rest_without_a_media_type_goes_on failed before through another VM.

--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -41,6 +41,10 @@
 __all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
 
 
+UNKNOWN_MEDIA_TYPE = "application/octet-stream"
+"""What the HTTP library of a VM that passes a response on adds if it has no type."""
+
+
 def endpoint_session() -> aiohttp.ClientSession:
     """Returns a session without keep-alive, cookies or decompression."""
     return aiohttp.ClientSession(
@@ -121,7 +125,8 @@
     def media_type(self) -> str:
         """The type of the body without parameters, empty if it is not told."""
         content_type = self.response.headers.get("Content-Type", "")
-        return content_type.partition(";")[0].strip().lower()
+        media_type = content_type.partition(";")[0].strip().lower()
+        return "" if media_type == UNKNOWN_MEDIA_TYPE else media_type
 
     async def read_chunk(self, timeout_s: float) -> bytes:
         """Returns the next bytes of the body, empty at its end.
