Let a stream end with a comment

A comment or an empty line with CR after the last event counted as the begin of another one, and a whole stream as broken.

--- a/verbenagrade/protocol/event_stream.py
+++ b/verbenagrade/protocol/event_stream.py
@@ -13,6 +13,7 @@
 
 END_OF_EVENT = b"\n\n"
 COMMENTS = re.compile(rb"\n*(?::[^\n]*\n)*")
+COMMENT_START = re.compile(rb"[\r\n]*(?::[^\n]*\n)*(?::[^\n]*)?")
 LINES = re.compile(rb"\n*(?:[A-Za-z_-]*:[^\n]*\n)+")
 ID_LINE = re.compile(rb"^id:[ \t]*([0-9]{1,18})[ \t]*$", re.MULTILINE)
 """Ids are numbers that increase from event to event, and fit into 64 bits."""
@@ -55,7 +56,7 @@
     @property
     def inside_event(self) -> bool:
         """Whether an event has begun and is not complete."""
-        return bool(self.incomplete.strip(b"\n"))
+        return COMMENT_START.fullmatch(self.incomplete) is None
 
     def feed(self, data: bytes) -> CompleteEvents:
         """Adds data and returns the events that are now complete."""
