Expect the errors of a parser that is written in Python

Without its compiled parser, the HTTP library raises an error of its parser to whoever waits for a body, which is none of its client's errors (seen by the review in a script outside of the tests; not run again here).

--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import aiohttp
+from aiohttp.http import HttpProcessingError
 from yarl import URL
 
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
@@ -77,6 +78,12 @@
             return await response.content.readany()
     except TimeoutError as error:
         raise UpstreamTimeoutError("timeout while reading the response") from error
-    # The HTTP library raises ``RuntimeError`` for a read after the connection was lost.
-    except (aiohttp.ClientError, OSError, RuntimeError) as error:
+    # The HTTP library raises ``RuntimeError`` for a read after the connection was lost,
+    # and an error of its parser if that is written in Python.
+    except (
+        aiohttp.ClientError,
+        HttpProcessingError,
+        OSError,
+        RuntimeError,
+    ) as error:
         raise UpstreamFailedError(f"the answer broke off: {error!r}") from error
