--- a/soak/ends.py
+++ b/soak/ends.py
@@ -18,7 +18,7 @@
 from soak.environment import SoakEnvironment
 from soak.faults import inject_faults
 from soak.proxy import reset_connection
-from verbenagrade.platform.tests.endpoint_standin import SEAL
+from verbenagrade.platform.tests.endpoint_standin import head_for_call
 from verbenagrade.state.response_end import Framing
 
 __all__ = ["EndingEndpoints", "StreamEnd", "choose_end", "play_ends"]
@@ -235,19 +235,14 @@
 
 
 def _head(call: str, status: str, framing: Framing, length: int) -> bytes:
-    lines = [
-        f"HTTP/1.1 {status}",
-        f"Request-Id: {call}",
-        f"Server-Seal: {SEAL}",
-        "Content-Type: text/event-stream",
-    ]
+    headers = {"Content_Type": "text/event-stream"}
     if framing is Framing.LENGTH:
-        lines.append(f"Content-Length: {length}")
+        headers["Content_Length"] = str(length)
     elif framing is Framing.CHUNKS:
-        lines.append("Transfer-Encoding: chunked")
+        headers["Transfer_Encoding"] = "chunked"
     else:
-        lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+        headers["Connection"] = "close"
+    return head_for_call(call, status, **headers)
 
 
 def _frame(data: bytes, framing: Framing) -> bytes:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from soak.run import run_crash_seed, run_limit_seed, run_seed
+from soak.run import (
+    run_crash_seed,
+    run_end_seed,
+    run_limit_seed,
+    run_row_seed,
+    run_seed,
+)
 
 SECONDS = 8.0
 SEEDS = (1, 2)
@@ -38,3 +44,18 @@
     report = await run_limit_seed(1, SECONDS)
     assert report.violations == ()
     assert report.status_counts.get("200", 0) > 200
+
+
+# Streams of endpoints end, or break off, in all ways. Seed 410221 found that a stream
+# ended as complete with the process of its endpoint.
+async def test_streams_that_end_in_all_ways_are_told_as_they_are():
+    report = await run_end_seed(410221, SECONDS)
+    assert report.violations == ()
+    assert report.status_counts.get("200", 0) > 100
+
+
+# Another writer's rows can't be decoded. Seed 410200 found calls that were not served.
+async def test_rows_that_cannot_be_decoded_cost_no_calls():
+    report = await run_row_seed(410200, SECONDS)
+    assert report.violations == ()
+    assert report.status_counts.get("200", 0) > 100
--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -97,7 +97,11 @@
 
 
 def response_head(request, status="200 OK", **headers) -> bytes:
-    lines = [f"HTTP/1.1 {status}", f"Request-Id: {request.headers['request-id']}"]
+    return head_for_call(request.headers["request-id"], status, **headers)
+
+
+def head_for_call(call, status="200 OK", **headers) -> bytes:
+    lines = [f"HTTP/1.1 {status}", f"Request-Id: {call}"]
     if "seal" not in headers:
         lines.append(f"Server-Seal: {SEAL}")
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
