Let a process that starts after a loss of rows know since when

Cause: records of streams that the store has lost are absent, and absent meant the default version unless this process had seen the era rise. One that starts afterwards sees only the new era. The same holds if all start afterwards, or one while the store is away. A related path, found by reading: a record that the copy has may be that of an earlier attempt whose successor's record is lost.

Now the row store/era of the fleet's table tells since when the era is known, written by a VM once it sees a new one. Without it, rows may have been lost until the process itself first saw the era. Records name the era in which they were written, and one of an earlier era proves nothing for as long as rows may be missing.

--- a/verbenagrade/coordination/store_eras.py
+++ b/verbenagrade/coordination/store_eras.py
@@ -25,15 +25,14 @@
     """The newest era that a response of the store has shown.
 
     ``current`` is ``None`` as long as no response tells an era. ``since`` is the time
-    at which it was first seen, and ``changed_at`` that of the last change, both in
-    seconds on ``clock``. ``on_change`` is called after a change.
+    at which it was first seen, in seconds on ``clock``. ``on_change`` is called after a
+    change.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.current: int | None = None
         self.since = clock()
-        self.changed_at: float | None = None
         self.on_change: Callable[[], None] = _no_action
         self.logged_texts: set[str] = set()
 
@@ -66,7 +65,6 @@
         previous, self.current = self.current, mark.era
         self.since = self.clock()
         if previous is not None:
-            self.changed_at = self.since
             log_event(Event.STORE_ERA_CHANGED, previous=previous, era=mark.era)
             self.on_change()
 
--- a/verbenagrade/coordination/stream_records.py
+++ b/verbenagrade/coordination/stream_records.py
@@ -17,9 +17,11 @@
 from verbenagrade.coordination.codec import log_ignored
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Clock, PlatformStore, Row, Write
+from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError, UndecodableError, UnreadableRowError
-from verbenagrade.state.decoding import Seconds, decode_json
+from verbenagrade.state.decoding import Count, Seconds, decode_json
+from verbenagrade.state.stream_versions import StreamRecord
 
 __all__ = ["STREAM_TABLE", "StreamRecords"]
 
@@ -47,10 +49,14 @@
 
 
 class StreamRow(msgspec.Struct, frozen=True):
-    """A version, and the time of the record on the store's clock, in seconds."""
+    """A version, and the time of the record on the store's clock, in seconds.
+
+    ``era`` is that of the store in which it was written; earlier builds leave it out.
+    """
 
     version: str
     at_s: Seconds
+    era: Count | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,12 +82,14 @@
         table: PlatformStore,
         clock: Clock,
         time: StoreTime,
+        eras: StoreEras,
         rng: random.Random,
         vm_count: Callable[[], int],
     ) -> None:
         self.table = table
         self.clock = clock
         self.time = time
+        self.eras = eras
         self.random = rng
         self.vm_count = vm_count
         self.away = False
@@ -102,14 +110,17 @@
             self.away = False
             return
 
-    async def find(self, call_id: str) -> str | None:
-        """Returns the version that is recorded for a stream, ``None`` if none is.
+    async def find(self, call_id: str) -> StreamRecord | None:
+        """Returns what is recorded for a stream, ``None`` if nothing is.
 
         Raises ``UnreadableRowError`` if the row that counts can't be decoded, and
         another ``PlatformError`` if the store does not respond.
         """
         rows = await self.table.scan(_prefix(call_id))
-        return _decode(rows[-1]).version if rows else None
+        if not rows:
+            return None
+        row = _decode(rows[-1])
+        return StreamRecord(row.version, _number(rows[-1].key), row.era)
 
     async def maintain(self, stream_life_s: float) -> None:
         """Removes old rows.
@@ -129,7 +140,7 @@
             # Other VMs would take the row for an old one and remove it.
             raise PlatformError("the store's time is not known yet; retry")
         at_s = self.clock() + offset_s
-        value = msgspec.json.encode(StreamRow(version, at_s))
+        value = msgspec.json.encode(StreamRow(version, at_s, self.eras.number))
         written = asyncio.get_running_loop().create_future()
         self.pending.setdefault(part, []).append(PendingRow(key, value, written))
         if part not in self.writing:
@@ -215,6 +226,12 @@
     return f"{STREAM_TABLE}/{_part(call_id)}/{name}/"
 
 
+def _number(key: str) -> int:
+    """Returns the number of the attempt that a row is about, 0 if its key has none."""
+    text = key.rpartition("/")[2]
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _decode(row: Row) -> StreamRow:
     """Raises ``UnreadableRowError`` if the row can't be decoded."""
     try:
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -5,9 +5,10 @@
 changes only when no endpoint of the version is left, so that no stream that began at it
 can go on anyway. Any other stream is recorded before its caller gets the first event.
 A VM that did not serve a stream reads the store, and knows that one without a record
-began at the default, unless the default changed, or the store lost rows, within the
-time for which callers take streams up. Nothing but the store shows that: a VM that is
-cut off from it, or stands still, does not see which versions serve meanwhile.
+began at the default, unless the default changed, or the store may have lost rows,
+within the time for which callers take streams up. Nothing but the store shows that: a
+VM that is cut off from it, or stands still, does not see which versions serve
+meanwhile.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from collections.abc import Iterable
 
 from verbenagrade.coordination.default_versions import DefaultVersions, ServiceView
+from verbenagrade.coordination.era_starts import EraStart
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Changes, Clock, PlatformStore
 from verbenagrade.coordination.store_eras import StoreEras
@@ -26,8 +28,8 @@
     Knowledge,
     RecordNeed,
     StreamOrigin,
+    find_origin,
     record_need,
-    unrecorded_origin,
 )
 
 __all__ = ["StreamVersions"]
@@ -65,7 +67,7 @@
     ) -> None:
         self.records = records
         self.clock = clock
-        self.eras = eras
+        self.era_start = EraStart(table, eras, clock, time, view.vm_count, rng)
         self.view = view
         self.store_writes_per_s = store_writes_per_s
         self.begun = BegunStreams()
@@ -79,10 +81,12 @@
         ``time`` must have learned the store's time from them before.
         """
         self.defaults.apply(changes)
+        self.era_start.apply(changes)
 
     def enter_era(self) -> None:
         """Has the defaults written again after the store came back from a copy."""
         self.defaults.enter_era()
+        self.era_start.enter_era()
 
     def need(self, service: str, version: str) -> RecordNeed:
         """Returns whether a stream that begins at a version has to be recorded."""
@@ -146,6 +150,7 @@
 
         Raises ``PlatformError`` if the store does not respond.
         """
+        await self.era_start.maintain()
         for service in services:
             await self.defaults.maintain(service)
         await self.records.maintain(self.view.stream_life_s())
@@ -156,8 +161,10 @@
         recorded, default = await asyncio.gather(
             self.records.find(call_id), self.defaults.read(service)
         )
-        if recorded is not None:
-            return StreamOrigin(recorded, "recorded")
-        stream_life_s = self.view.stream_life_s()
-        rows_lost_at = self.eras.changed_at
-        return unrecorded_origin(default, asked_at, stream_life_s, rows_lost_at)
+        return find_origin(
+            recorded,
+            default,
+            asked_at,
+            self.view.stream_life_s(),
+            self.era_start.loss(),
+        )
--- a/verbenagrade/coordination/tests/test_odd_rows.py
+++ b/verbenagrade/coordination/tests/test_odd_rows.py
@@ -57,6 +57,7 @@
         "data_centre": b'"muscat-a"',
         "reservation_address": b'"10.0.0.9:7341"',
     },
+    "store/era": {"era": b"2", "since_s": b"5090.0"},
     "crash/d1/i-1@0": {"at_s": b"5090.0"},
     "suspect/5c1e/i-1@0": {"at_s": b"5090.0"},
     "trial/5c1e/0": {"at_s": b"5090.0"},
@@ -122,7 +123,7 @@
         self.limits = FleetLimits.create(table, self.fleet, directory, clock, rng)
         self.keys = RelayKeys(table)
         time = StoreTime(lambda: STORE_CLOCK_S, lambda _time_s: None)
-        records = StreamRecords(table, clock, time, rng, lambda: 2)
+        records = StreamRecords(table, clock, time, eras, rng, lambda: 2)
         view = ServiceView(
             lambda _service: (),
             lambda _service: (),
@@ -319,9 +320,9 @@
 async def test_odd_record_of_a_stream_is_unknown_and_hides_no_other_stream():
     store = Store(clock)
     time = StoreTime(lambda: STORE_CLOCK_S, lambda _time_s: None)
-    records = StreamRecords(
-        store.port(never_cut_off), clock, time, random.Random(1), lambda: 1
-    )
+    eras, rng = StoreEras(clock), random.Random(1)
+    table = store.port(never_cut_off)
+    records = StreamRecords(table, clock, time, eras, rng, lambda: 1)
     for call in ("call1", "call2"):
         await records.record(call, 1, "v1")
     sound = list(store.rows)
@@ -330,7 +331,7 @@
         store.write((Write(f"{odd}{number}x", value),))
         with pytest.raises(UnreadableRowError):
             await records.find("call1")
-    assert await records.find("call2") == "v1"
+    assert (await records.find("call2")).version == "v1"
     for part in range(16):
         await records._sweep(part, 24.0)
     assert set(sound) <= set(store.rows)
--- a/verbenagrade/coordination/tests/test_stream_versions.py
+++ b/verbenagrade/coordination/tests/test_stream_versions.py
@@ -119,11 +119,9 @@
 def test_stream_without_a_record_is_not_known_after_the_store_lost_rows():
     async def scenario(fleet, first, second):
         fleet.serve("v1", "v2")
+        fleet.store.take_copy()
         await first.begin("a", "v2")
-        second.eras.changed_at = fleet.clock()
-        fleet.store.rows = {
-            k: r for k, r in fleet.store.rows.items() if not k.startswith("streams/")
-        }
+        fleet.store.come_back_from_copy()
         assert await second.find("a") is None
         assert await first.find("a") == "v2"
 
--- a/verbenagrade/coordination/tests/version_fleet.py
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -7,8 +7,14 @@
 
 from verbenagrade.coordination.default_versions import ServiceView
 from verbenagrade.coordination.permits import StoreTime
-from verbenagrade.coordination.ports import Changes, CommitResult, PlatformStore, Row
-from verbenagrade.coordination.store_eras import StoreEras
+from verbenagrade.coordination.ports import (
+    Changes,
+    CommitResult,
+    EraMark,
+    PlatformStore,
+    Row,
+)
+from verbenagrade.coordination.store_eras import StoreEras, guard_eras
 from verbenagrade.coordination.stream_records import StreamRecords
 from verbenagrade.coordination.stream_versions import StreamVersions
 from verbenagrade.exceptions import PlatformError
@@ -27,7 +33,8 @@
 
     While ``down``, all calls fail, and those of a VM while it is cut off. If ``late``
     is a list, transactions without a response are added to it, and can be committed
-    later with ``write``. ``before_read`` is called before each read of rows.
+    later with ``write``. ``before_read`` is called before each read of rows. ``era`` is
+    told in all responses, and rises when the store comes back from ``copy``.
     """
 
     def __init__(self, clock) -> None:
@@ -40,6 +47,8 @@
         self.time_offset_s = STORE_CLOCK_S
         self.reads = 0
         self.before_read: Callable[[], None] = lambda: None
+        self.era = 1
+        self.copy: tuple[dict[str, Row], int] = ({}, 0)
 
     @property
     def down(self) -> bool:
@@ -49,6 +58,38 @@
     def down(self, down: bool) -> None:
         self.down_at = self.clock() if down else None
 
+    def take_copy(self) -> None:
+        self.copy = (dict(self.rows), self.version)
+
+    def come_back_from_copy(self) -> None:
+        """Loses what was written since the copy; its versions are given out again."""
+        rows, self.version = self.copy
+        self.rows = dict(rows)
+        self.era += 1
+
+    def port_with_eras(
+        self, cut_off: Callable[[], bool], eras: StoreEras
+    ) -> PlatformStore:
+        """Returns a port that tells the era in each response."""
+        plain = self.port(cut_off)
+
+        async def read(keys):
+            rows, requested_in = await plain.read(keys), eras.current
+            eras.observe(EraMark(self.era), requested_in)
+            return rows
+
+        async def scan(prefix):
+            rows, requested_in = await plain.scan(prefix), eras.current
+            eras.observe(EraMark(self.era), requested_in)
+            return rows
+
+        async def commit(checks, writes):
+            result, requested_in = await plain.commit(checks, writes), eras.current
+            eras.observe(EraMark(self.era), requested_in)
+            return result
+
+        return guard_eras(PlatformStore(read, scan, commit, None, None), eras)
+
     def port(self, cut_off: Callable[[], bool]) -> PlatformStore:
         def check() -> None:
             if self.down or cut_off():
@@ -108,9 +149,12 @@
         self.store_time_offset_s: float | None = STORE_CLOCK_S
         time = StoreTime(lambda: self.store_time_offset_s, lambda _time_s: None)
         rng = random.Random(number)
-        table = fleet.store.port(lambda: self.cut_off_at is not None)
+        self.eras.on_change = lambda: self.versions.enter_era()
+        table = fleet.store.port_with_eras(
+            lambda: self.cut_off_at is not None, self.eras
+        )
         self.records = StreamRecords(
-            table, fleet.clock, time, rng, lambda: len(fleet.vms)
+            table, fleet.clock, time, self.eras, rng, lambda: len(fleet.vms)
         )
         view = ServiceView(
             entries=lambda _service: self.entries(),
@@ -151,11 +195,16 @@
         return self.fleet.clock() - min(since, default=self.fleet.clock())
 
     def follow(self, complete=False, removed=()) -> None:
-        if self.outdated:
-            return
         store = self.fleet.store
+        if self.outdated or store.down:
+            return
+        earlier = self.eras.current
+        restored = earlier not in (None, store.era)
+        self.eras.observe(EraMark(store.era), earlier)
         rows = tuple(r for k, r in store.rows.items() if k.startswith("fleet//"))
-        self.versions.apply(Changes(store.version, rows, removed, complete))
+        self.versions.apply(
+            Changes(store.version, rows, removed, complete or restored, restored)
+        )
 
     async def begin(self, call, version, number=1) -> None:
         """Begins a stream as a gateway does: recorded before its first event."""
--- a/verbenagrade/state/stream_versions.py
+++ b/verbenagrade/state/stream_versions.py
@@ -19,10 +19,12 @@
     "DefaultVersion",
     "Knowledge",
     "RecordNeed",
+    "RowLoss",
     "StreamOrigin",
+    "StreamRecord",
+    "find_origin",
     "most_common_version",
     "record_need",
-    "unrecorded_origin",
 ]
 
 MAX_BEGUN_STREAMS = 20_000
@@ -117,6 +119,42 @@
     return RecordNeed.OPTIONAL if gone and in_touch else RecordNeed.REQUIRED
 
 
+@dataclass(frozen=True, slots=True)
+class RowLoss:
+    """The last time at which the store may have lost rows, in seconds.
+
+    ``at`` is ``None`` if it can't have lost any. ``era`` is the era of the store since
+    then.
+    """
+
+    era: int
+    at: float | None
+
+    def may_concern(self, now: float, stream_life_s: float) -> bool:
+        """Returns whether rows of a stream may be lost that a caller takes up now.
+
+        ``stream_life_s`` is the longest time in which callers take a stream up.
+
+        >>> RowLoss(era=2, at=50.0).may_concern(60.0, stream_life_s=24.0)
+        True
+        >>> RowLoss(era=1, at=None).may_concern(60.0, stream_life_s=24.0)
+        False
+        """
+        return self.at is not None and now - self.at < stream_life_s
+
+
+@dataclass(frozen=True, slots=True)
+class StreamRecord:
+    """The version recorded for a stream, by the last attempt that has a row.
+
+    ``era`` is that of the store when it was written, ``None`` if the row doesn't tell.
+    """
+
+    version: str
+    number: int
+    era: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class StreamOrigin:
     """The version at which a stream began, ``None`` if it is not known, and why."""
@@ -125,26 +163,34 @@
     reason: str
 
 
-def unrecorded_origin(
+def find_origin(
+    record: StreamRecord | None,
     default: DefaultVersion | None,
     asked_at: float,
     stream_life_s: float,
-    rows_lost_at: float | None,
+    loss: RowLoss,
 ) -> StreamOrigin:
-    """Returns where a stream began of which the store has no record.
+    """Returns where a stream began, from what the store says.
 
-    ``default`` is the one that the store had after ``asked_at``, the time at which the
-    caller took the stream up, and ``rows_lost_at`` the last time at which the store
-    lost rows.
+    ``record`` and ``default`` are what the store had after ``asked_at``, the time at
+    which the caller took the stream up. A record from before a loss of rows may be that
+    of an earlier attempt, whose successor's record is lost.
 
-    >>> default = DefaultVersion("v1", since=0.0)
-    >>> unrecorded_origin(default, 60.0, 24.0, None)
+    >>> default, no_loss = DefaultVersion("v1", since=0.0), RowLoss(1, None)
+    >>> find_origin(None, default, 60.0, 24.0, no_loss)
     StreamOrigin(version='v1', reason='default')
-    >>> unrecorded_origin(default, 10.0, 24.0, None).version is None
+    >>> find_origin(StreamRecord("v2", 1, era=1), default, 60.0, 24.0, no_loss)
+    StreamOrigin(version='v2', reason='recorded')
+    >>> find_origin(None, default, 10.0, 24.0, no_loss).version is None
+    True
+    >>> find_origin(None, default, 60.0, 24.0, RowLoss(2, at=50.0)).version is None
     True
     """
-    if rows_lost_at is not None and asked_at - rows_lost_at < stream_life_s:
-        return StreamOrigin(None, "the store lost rows a short time ago")
+    lost = loss.may_concern(asked_at, stream_life_s)
+    if record is not None and (record.era == loss.era or not lost):
+        return StreamOrigin(record.version, "recorded")
+    if lost:
+        return StreamOrigin(None, "the store may have lost its record")
     if default is None:
         return StreamOrigin(None, "the store has no default that can be read")
     if not default.is_settled(asked_at, stream_life_s):
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -116,6 +116,6 @@
         vm_count=vm_count,
     )
     rng = random.Random(seed)
-    records = StreamRecords(table, clock, time, rng, vm_count)
+    records = StreamRecords(table, clock, time, eras, rng, vm_count)
     writes_per_s = settings.store.writes_per_s
     return StreamVersions(table, records, clock, time, eras, view, writes_per_s, rng)
