Record running streams while the store may have lost their records

Cause: a stream at the default has no record, and its absence proves nothing after a loss of rows.

Each VM now records all its running streams for as long as rows may be missing, those from before the return and those it took up included, a transaction for each partition, within the part of the store's writes that records may take. Others then find a record of the present era. A VM remembers what it read of a stream that it took up.

--- a/verbenagrade/coordination/era_starts.py
+++ b/verbenagrade/coordination/era_starts.py
@@ -24,6 +24,7 @@
     Write,
 )
 from verbenagrade.coordination.store_eras import StoreEras
+from verbenagrade.events import Event, log_event
 from verbenagrade.state.decoding import Count, Seconds
 from verbenagrade.state.stream_versions import RowLoss
 
@@ -123,3 +124,5 @@
             return
         self.row_version = row.version
         self.row = decode_or_ignore(row, EraRow)
+        if self.row is not None:
+            log_event(Event.STORE_ERA_DATED, era=self.row.era, since_s=self.row.since_s)
--- a/verbenagrade/coordination/stream_records.py
+++ b/verbenagrade/coordination/stream_records.py
@@ -23,7 +23,7 @@
 from verbenagrade.state.decoding import Count, Seconds, decode_json
 from verbenagrade.state.stream_versions import StreamRecord
 
-__all__ = ["STREAM_TABLE", "StreamRecords"]
+__all__ = ["STREAM_TABLE", "StreamRecords", "partition_of"]
 
 STREAM_TABLE = "streams"
 PARTS = 16
@@ -97,18 +97,32 @@
         self.writing: dict[int, asyncio.Task[None]] = {}
         self.unreadable: dict[str, float] = {}
 
-    async def record(self, call_id: str, number: int, version: str) -> None:
-        """Records the version of a call's attempt; returns once that is certain."""
-        key = f"{_prefix(call_id)}{number:03}"
+    async def record(self, call_id: str, number: int, version: str) -> int:
+        """Records the version of a call's attempt; returns once that is certain.
+
+        The result is the era in which the store took the record.
+        """
         while True:
             try:
-                await self._write(key, _part(call_id), version)
+                return await self.write(call_id, number, version)
             except PlatformError:
-                self.away = True
                 await asyncio.sleep(RETRY_S)
-                continue
-            self.away = False
-            return
+
+    async def write(self, call_id: str, number: int, version: str) -> int:
+        """Tries once to record a version; returns the era of the record.
+
+        Rows of one partition that are written at the same time share a transaction.
+        Raises ``PlatformError`` if the store does not respond.
+        """
+        era = self.eras.number
+        key = f"{_prefix(call_id)}{number:03}"
+        try:
+            await self._write(key, partition_of(call_id), version, era)
+        except PlatformError:
+            self.away = True
+            raise
+        self.away = False
+        return era
 
     async def find(self, call_id: str) -> StreamRecord | None:
         """Returns what is recorded for a stream, ``None`` if nothing is.
@@ -134,13 +148,13 @@
             await self._sweep(part, max(ROW_LIFE_S, ROW_LIFE_FACTOR * stream_life_s))
             self.away = False
 
-    async def _write(self, key: str, part: int, version: str) -> None:
+    async def _write(self, key: str, part: int, version: str, era: int) -> None:
         offset_s = self.time.offset_s()
         if offset_s is None:
             # Other VMs would take the row for an old one and remove it.
             raise PlatformError("the store's time is not known yet; retry")
         at_s = self.clock() + offset_s
-        value = msgspec.json.encode(StreamRow(version, at_s, self.eras.number))
+        value = msgspec.json.encode(StreamRow(version, at_s, era))
         written = asyncio.get_running_loop().create_future()
         self.pending.setdefault(part, []).append(PendingRow(key, value, written))
         if part not in self.writing:
@@ -211,7 +225,8 @@
             await self.table.commit((), tuple(Write(key, None) for key in chunk))
 
 
-def _part(call_id: str) -> int:
+def partition_of(call_id: str) -> int:
+    """Returns the number of the partition that has the rows of a call."""
     return xxhash.xxh3_64_intdigest(call_id.encode()) % PARTS
 
 
@@ -223,7 +238,7 @@
     name = call_id
     if not call_id.isalnum() or len(call_id) > MAX_CALL_ID_LENGTH:
         name = xxhash.xxh3_128_hexdigest(call_id.encode())
-    return f"{STREAM_TABLE}/{_part(call_id)}/{name}/"
+    return f"{STREAM_TABLE}/{partition_of(call_id)}/{name}/"
 
 
 def _number(key: str) -> int:
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -9,6 +9,11 @@
 within the time for which callers take streams up. Nothing but the store shows that: a
 VM that is cut off from it, or stands still, does not see which versions serve
 meanwhile.
+
+After a loss of rows, a stream without a record is of no known version for as long as
+callers may take up one whose record is lost. Until then each VM therefore records all
+streams that it serves, those at the default as well, and those whose records it wrote
+before the loss once more.
 """
 
 import asyncio
@@ -20,10 +25,11 @@
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Changes, Clock, PlatformStore
 from verbenagrade.coordination.store_eras import StoreEras
-from verbenagrade.coordination.stream_records import StreamRecords
+from verbenagrade.coordination.stream_records import StreamRecords, partition_of
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError, UnreadableRowError
 from verbenagrade.state.stream_versions import (
+    BegunStream,
     BegunStreams,
     Knowledge,
     RecordNeed,
@@ -116,10 +122,38 @@
         self.allowance_at = now
         return not self.records.away and self.allowance >= 1.0
 
-    async def record(self, call_id: str, number: int, version: str) -> None:
-        """Records the version of a call's attempt; returns once that is certain."""
+    async def record(self, call_id: str, number: int, version: str) -> int:
+        """Records the version of a call's attempt; returns once that is certain.
+
+        The result is the era in which the store took the record.
+        """
         self.allowance -= 1.0
-        await self.records.record(call_id, number, version)
+        return await self.records.record(call_id, number, version)
+
+    async def record_running(self) -> int:
+        """Records the streams of this VM whose records the store may have lost.
+
+        Those for which the store takes no more records now are left for the next time.
+        Returns the number of streams that were recorded.
+        """
+        now, loss = self.clock(), self.era_start.loss()
+        stream_life_s = self.view.stream_life_s()
+        if not loss.may_concern(now, stream_life_s):
+            return 0
+        recorded = 0
+        partitions: dict[int, dict[str, BegunStream]] = {}
+        for call_id, stream in self.begun.unrecorded(
+            loss.era, now - stream_life_s
+        ).items():
+            partitions.setdefault(partition_of(call_id), {})[call_id] = stream
+        for streams in partitions.values():
+            if not self.may_record():
+                break
+            self.allowance -= 1.0
+            recorded += await self._record_all(streams)
+        if recorded:
+            log_event(Event.STREAMS_RECORDED, streams=recorded, era=loss.era)
+        return recorded
 
     async def find(self, service: str, call_id: str, asked_at: float) -> StreamOrigin:
         """Returns the version at which a stream began.
@@ -131,6 +165,15 @@
         version = self.begun.find(call_id)
         if version is not None:
             return StreamOrigin(version, "served here")
+        origin = await self._read_with_retries(service, call_id, asked_at)
+        if origin.version is not None:
+            stream = BegunStream(origin.version, max(1, origin.number), asked_at)
+            self.begun.record(call_id, stream)
+        return origin
+
+    async def _read_with_retries(
+        self, service: str, call_id: str, asked_at: float
+    ) -> StreamOrigin:
         for number in range(FIND_TRIES):
             if number:
                 await asyncio.sleep(FIND_PAUSE_S)
@@ -155,6 +198,22 @@
             await self.defaults.maintain(service)
         await self.records.maintain(self.view.stream_life_s())
 
+    async def _record_all(self, streams: dict[str, BegunStream]) -> int:
+        """Tries once to record streams of one partition; returns their number."""
+        try:
+            eras = await asyncio.gather(
+                *(
+                    self.records.write(call_id, stream.number, stream.version)
+                    for call_id, stream in streams.items()
+                )
+            )
+        except PlatformError:
+            # The failed transaction was logged; all of them are tried again.
+            return 0
+        for call_id, era in zip(streams, eras, strict=True):
+            self.begun.record_written(call_id, era)
+        return len(streams)
+
     async def _read_origin(
         self, service: str, call_id: str, asked_at: float
     ) -> StreamOrigin:
--- a/verbenagrade/coordination/tests/version_fleet.py
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -19,7 +19,7 @@
 from verbenagrade.coordination.stream_versions import StreamVersions
 from verbenagrade.exceptions import PlatformError
 from verbenagrade.state.directory import EndpointEntry
-from verbenagrade.state.stream_versions import RecordNeed
+from verbenagrade.state.stream_versions import BegunStream, RecordNeed
 from verbenagrade.tests.virtual_time import VirtualTimeLoop
 
 STREAM_LIFE_S = 24.0
@@ -209,9 +209,11 @@
     async def begin(self, call, version, number=1) -> None:
         """Begins a stream as a gateway does: recorded before its first event."""
         need = self.versions.need(SERVICE, version)
+        era = None
         if need is not RecordNeed.NONE:
-            await self.versions.record(call, number, version)
-        self.versions.begun.record(call, version)
+            era = await self.versions.record(call, number, version)
+        begun = BegunStream(version, number, self.fleet.clock(), era)
+        self.versions.begun.record(call, begun)
 
     async def find(self, call) -> str | None:
         """Returns the version at which a stream that is taken up now goes on."""
@@ -221,6 +223,7 @@
     async def maintain(self) -> None:
         with suppress(PlatformError):
             await self.versions.maintain((SERVICE,))
+        await self.versions.record_running()
 
 
 class Fleet:
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -63,6 +63,11 @@
         logbook.INFO,
         "default software version of a service changed",
     )
+    STREAMS_RECORDED = (
+        238,
+        logbook.INFO,
+        "versions of running streams recorded after the store lost rows",
+    )
     WAY_LOST = (
         228,
         logbook.WARNING,
@@ -151,6 +156,7 @@
     )
     STORE_ERA_INVALID = (514, logbook.WARNING, "era of the store missing or invalid")
     BUDGET_RESTORED = (515, logbook.INFO, "rows of a budget restored in a new era")
+    STORE_ERA_DATED = (516, logbook.INFO, "start of the era of the store known")
     RESOURCE_ACCEPTED = (502, logbook.INFO, "resource accepted")
 
     @property
--- a/verbenagrade/platform/tests/test_software_versions.py
+++ b/verbenagrade/platform/tests/test_software_versions.py
@@ -168,3 +168,34 @@
         lambda: len(turned_away.core.directory.entries) == len(testbed.endpoints)
     )
     await check_resumptions(testbed, begun, turned_away)
+
+
+async def drill(testbed) -> None:
+    """Lets the store lose what was written since its copy, and all VMs notice that."""
+    era = testbed.store.era
+    testbed.store.status = 503
+    await testbed.wait_until(lambda: testbed.core.configuration_freshness.unavailable)
+    testbed.store.come_back_from_copy()
+    testbed.store.status = 0
+    cores = [gateway.core for gateway in (testbed.gateway, *testbed.others)]
+    await testbed.wait_until(lambda: {core.eras.current for core in cores} == {era + 1})
+
+
+# Guards against streams that join two versions, or can't go on at all, at a VM that
+# starts after the store lost rows, whether they began before or after that.
+@pytest.mark.parametrize("begin_first", [True, False])
+async def test_streams_go_on_at_a_vm_that_starts_after_a_drill(testbed, begin_first):
+    testbed.store.era = 1
+    await start(testbed, "v1", "v1", "v2", "v2", default="v1")
+    await testbed.start_another()
+    lost = testbed.others[0]
+    testbed.store.take_copy()
+    begun = await begin_streams(testbed, lost) if begin_first else {}
+    await drill(testbed)
+    begun = begun or await begin_streams(testbed, lost)
+    assert {("v1",), ("v2",)} == set(map(tuple, begun.values()))
+    unrecorded = lost.core.versions.begun.unrecorded
+    await testbed.wait_until(lambda: not unrecorded(testbed.store.era, 0.0))
+    await testbed.end(lost)
+    await testbed.start_another()
+    await check_resumptions(testbed, begun, testbed.others[0])
--- a/verbenagrade/platform/tests/test_store_drill.py
+++ b/verbenagrade/platform/tests/test_store_drill.py
@@ -14,6 +14,9 @@
 from verbenagrade.platform.tests.crashing_endpoints import CrashingEndpoints
 from verbenagrade.platform.tests.endpoint_standin import plain
 
+FLEET_ROWS = {"vm", "crash", "software", "relay", "store"}
+"""Kinds of rows that a gateway writes to the table ``fleet`` after a crash."""
+
 
 @pytest.fixture
 async def drilled(testbed):
@@ -136,13 +139,9 @@
         rows = [key for table, _, key in testbed.store.rows if table == "fleet"]
         return {key.split("/")[0] for key in rows}
 
-    await testbed.wait_until(
-        lambda: fleet_keys() == {"vm", "crash", "software", "relay"}
-    )
+    await testbed.wait_until(lambda: fleet_keys() == FLEET_ROWS)
     await come_back(testbed)
-    await testbed.wait_until(
-        lambda: fleet_keys() == {"vm", "crash", "software", "relay"}
-    )
+    await testbed.wait_until(lambda: fleet_keys() == FLEET_ROWS)
 
 
 # Guards against refusals of calls for which this VM holds tokens, and against tokens
--- a/verbenagrade/state/stream_versions.py
+++ b/verbenagrade/state/stream_versions.py
@@ -8,13 +8,14 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from verbenagrade.state.directory import EndpointEntry
 
 __all__ = [
     "MAX_ENDPOINTS_AGE_S",
+    "BegunStream",
     "BegunStreams",
     "DefaultVersion",
     "Knowledge",
@@ -28,7 +29,7 @@
 ]
 
 MAX_BEGUN_STREAMS = 20_000
-"""Largest number of streams whose versions a VM remembers, about 200 bytes each."""
+"""Largest number of streams whose versions a VM remembers, about 300 bytes each."""
 
 MAX_ENDPOINTS_AGE_S = 1.0
 """Age of the known endpoints, in seconds, above which they prove nothing. While the
@@ -157,10 +158,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamOrigin:
-    """The version at which a stream began, ``None`` if it is not known, and why."""
+    """The version at which a stream began, ``None`` if it is not known, and why.
+
+    ``number`` is that of the attempt whose record tells the version, 0 if none does.
+    """
 
     version: str | None
     reason: str
+    number: int = 0
 
 
 def find_origin(
@@ -178,9 +183,9 @@
 
     >>> default, no_loss = DefaultVersion("v1", since=0.0), RowLoss(1, None)
     >>> find_origin(None, default, 60.0, 24.0, no_loss)
-    StreamOrigin(version='v1', reason='default')
+    StreamOrigin(version='v1', reason='default', number=0)
     >>> find_origin(StreamRecord("v2", 1, era=1), default, 60.0, 24.0, no_loss)
-    StreamOrigin(version='v2', reason='recorded')
+    StreamOrigin(version='v2', reason='recorded', number=1)
     >>> find_origin(None, default, 10.0, 24.0, no_loss).version is None
     True
     >>> find_origin(None, default, 60.0, 24.0, RowLoss(2, at=50.0)).version is None
@@ -188,7 +193,7 @@
     """
     lost = loss.may_concern(asked_at, stream_life_s)
     if record is not None and (record.era == loss.era or not lost):
-        return StreamOrigin(record.version, "recorded")
+        return StreamOrigin(record.version, "recorded", record.number)
     if lost:
         return StreamOrigin(None, "the store may have lost its record")
     if default is None:
@@ -204,19 +209,66 @@
     return max(counts, key=lambda version: (counts[version], version), default=None)
 
 
+@dataclass(frozen=True, slots=True)
+class BegunStream:
+    """A stream of which this VM knows at which version it began.
+
+    ``number`` is that of the attempt that began it, for its record. ``at`` is when this
+    VM learned of it, in seconds. ``recorded_in`` is the era in which the store took its
+    record, ``None`` if it has none. A ``complete`` stream is not taken up any more.
+    """
+
+    version: str
+    number: int
+    at: float
+    recorded_in: int | None = None
+    complete: bool = False
+
+
 class BegunStreams:
-    """The versions of streams that this VM has served, by the call that began them."""
+    """The streams that this VM has served, by the call that began them."""
 
     def __init__(self) -> None:
-        self.versions: OrderedDict[str, str] = OrderedDict()
+        self.streams: OrderedDict[str, BegunStream] = OrderedDict()
 
-    def record(self, call_id: str, version: str) -> None:
-        """Records the version of a stream; the oldest one may be forgotten."""
-        self.versions[call_id] = version
-        self.versions.move_to_end(call_id)
-        if len(self.versions) > MAX_BEGUN_STREAMS:
-            self.versions.popitem(last=False)
+    def record(self, call_id: str, stream: BegunStream) -> None:
+        """Records a stream; the oldest one may be forgotten."""
+        self.streams[call_id] = stream
+        self.streams.move_to_end(call_id)
+        if len(self.streams) > MAX_BEGUN_STREAMS:
+            self.streams.popitem(last=False)
 
     def find(self, call_id: str) -> str | None:
         """Returns the version of a stream, ``None`` if it is not known."""
-        return self.versions.get(call_id)
+        stream = self.streams.get(call_id)
+        return stream.version if stream is not None else None
+
+    def end(self, call_id: str) -> None:
+        """Records that the caller of a stream has got all of it."""
+        if call_id in self.streams:
+            self.streams[call_id] = replace(self.streams[call_id], complete=True)
+
+    def record_written(self, call_id: str, era: int) -> None:
+        """Records that the store took the record of a stream in an era."""
+        if call_id in self.streams:
+            self.streams[call_id] = replace(self.streams[call_id], recorded_in=era)
+
+    def unrecorded(self, era: int, oldest_at: float) -> dict[str, BegunStream]:
+        """Returns the streams without a record of an era that may be taken up.
+
+        Those from before ``oldest_at``, a time in seconds, are left out.
+
+        >>> begun = BegunStreams()
+        >>> begun.record("a", BegunStream("v1", 1, at=50.0, recorded_in=1))
+        >>> list(begun.unrecorded(era=1, oldest_at=40.0))
+        []
+        >>> list(begun.unrecorded(era=2, oldest_at=40.0))
+        ['a']
+        """
+        found: dict[str, BegunStream] = {}
+        for call_id, stream in reversed(self.streams.items()):
+            if stream.at < oldest_at:
+                break
+            if stream.recorded_in != era and not stream.complete:
+                found[call_id] = stream
+        return found
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -123,7 +123,7 @@
         self.successor: Placement | None = None
         self.kept_logged = False
         self.stream_version: str | None = None
-        self.version_record: asyncio.Task[None] | None = None
+        self.version_record: asyncio.Task[int] | None = None
         self.version_required = False
         self.records = 0
         self.last_event_id = resume_after
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -43,6 +43,7 @@
 from verbenagrade.transport.gateway.versions import (
     begin_record,
     end_record,
+    end_stream,
     find_version,
 )
 from verbenagrade.transport.sends import SentRequest
@@ -117,6 +118,7 @@
                 return _fail_call(core, call, progress, writer, refusal)
             continue
         progress.outcome.advance("answer")
+        end_stream(core, call)
         return ForwardResult(response, CallResult(response.status))
 
 
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -44,6 +44,7 @@
 from verbenagrade.transport.gateway.upkeep import (
     expire_endpoints,
     maintain_grants,
+    record_streams,
     report_spending,
     resend_settlements,
     restore_budgets,
@@ -251,6 +252,7 @@
         for task in (
             expire_endpoints,
             maintain_grants,
+            record_streams,
             report_spending,
             restore_budgets,
             watch_reach,
--- a/verbenagrade/transport/gateway/tests/test_version_machine.py
+++ b/verbenagrade/transport/gateway/tests/test_version_machine.py
@@ -1,4 +1,4 @@
-"""Random releases, cuts and pauses, in which streams must keep their versions."""
+"""Random releases, cuts, pauses, drills and kills; streams must keep their versions."""
 
 import asyncio
 from types import SimpleNamespace
@@ -53,7 +53,10 @@
 
 
 class VersionMachine(RuleBasedStateMachine):
-    """Three VMs; endpoints come and go, and VMs are cut off or stand still."""
+    """Three VMs, which are cut off, stand still or are replaced, as endpoints are.
+
+    In a drill the store goes away and comes back from the last copy.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -75,6 +78,7 @@
             await self.fleet.add()
         await self.fleet.maintain()
         await self.fleet.pass_time(2 * STREAM_LIFE_S)
+        self.fleet.store.take_copy()
 
     def teardown(self) -> None:
         for task in asyncio.all_tasks(self.loop):
@@ -140,6 +144,34 @@
         vm.recover()
         self.outdated_since.pop(vm, None)
 
+    @rule()
+    def take_copy(self) -> None:
+        self.fleet.store.take_copy()
+
+    @rule(seconds=st.sampled_from((0.0, 0.5, 3.0)))
+    def go_away(self, seconds) -> None:
+        if not self.fleet.store.down:
+            self.fleet.store.down = True
+            self.run(self._pass_time(seconds))
+
+    @rule(lost=st.booleans())
+    def come_back(self, lost) -> None:
+        if self.fleet.store.down:
+            self.fleet.store.down = False
+            if lost:
+                self.fleet.store.come_back_from_copy()
+
+    @rule(numbers=st.sets(VMS, min_size=1), ready=st.booleans())
+    def replace_vms(self, numbers, ready) -> None:
+        """Kills VMs and starts others, which serve before or after they have read."""
+        for number in numbers:
+            self.outdated_since.pop(self.fleet.vms[number], None)
+            vm = self.fleet.start_vm()
+            self.fleet.vms.remove(vm)
+            self.fleet.vms[number] = vm
+            if ready:
+                vm.follow()
+
     @rule(seconds=st.sampled_from((0.2, 1.0, 3.0, 10.0, 30.0)))
     def pass_time(self, seconds) -> None:
         self.run(self._pass_time(seconds))
--- a/verbenagrade/transport/gateway/upkeep.py
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -13,6 +13,7 @@
 __all__ = [
     "expire_endpoints",
     "maintain_grants",
+    "record_streams",
     "report_spending",
     "resend_settlements",
     "restore_budgets",
@@ -22,6 +23,7 @@
 EXPIRY_INTERVAL_S = 0.2
 RESTORATION_INTERVAL_S = 0.25
 RESEND_INTERVAL_S = 0.5
+RECORD_INTERVAL_S = 0.25
 PREFETCH_DELAY_S = 3.0
 """Time after the start before which no grants are obtained without demand, in seconds.
 By then the other VMs of a fleet that starts have announced themselves, and this VM
@@ -70,6 +72,13 @@
         await core.allowance_manager.restore_budgets()
 
 
+async def record_streams(core: GatewayCore) -> None:
+    """Records running streams while the store may have lost records."""
+    while True:
+        await asyncio.sleep(RECORD_INTERVAL_S * core.random.uniform(0.8, 1.2))
+        core.metrics.stream_records.add({}, await core.versions.record_running())
+
+
 async def report_spending(core: GatewayCore) -> None:
     """Reports to the store what this VM spends."""
     manager = core.allowance_manager
--- a/verbenagrade/transport/gateway/versions.py
+++ b/verbenagrade/transport/gateway/versions.py
@@ -7,7 +7,7 @@
 from verbenagrade.exceptions import UpstreamTimeoutError
 from verbenagrade.state.calls import CallKind
 from verbenagrade.state.directory import EndpointEntry
-from verbenagrade.state.stream_versions import RecordNeed
+from verbenagrade.state.stream_versions import BegunStream, RecordNeed
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 
@@ -16,6 +16,7 @@
     "candidates",
     "confirm_version",
     "end_record",
+    "end_stream",
     "find_version",
 ]
 
@@ -31,7 +32,7 @@
     """
     if call.kind is not CallKind.RESUMABLE_STREAM or not call.head.resume_after:
         return True
-    begun_by = call.head.resumed_call or call.head.call_id
+    begun_by = _begun_by(call)
     origin = await core.versions.find(call.service, begun_by, call.started_at)
     log_event(
         Event.STREAM_VERSION_FOUND,
@@ -110,7 +111,31 @@
     if progress.version_record is not None:
         await _wait_for_record(core, call, progress, entry)
     progress.stream_version = entry.software_version
-    core.versions.begun.record(call.head.call_id, entry.software_version)
+    begun = BegunStream(
+        version=entry.software_version,
+        number=max(1, progress.records),
+        at=core.clock(),
+        recorded_in=_era_of_record(progress),
+    )
+    core.versions.begun.record(call.head.call_id, begun)
+
+
+def end_stream(core: GatewayCore, call: Call) -> None:
+    """Records that the caller of a stream has got all of it."""
+    if call.kind is CallKind.RESUMABLE_STREAM:
+        core.versions.begun.end(_begun_by(call))
+
+
+def _begun_by(call: Call) -> str:
+    """Returns the id of the call that began the stream of a call."""
+    resumed = call.head.resumed_call if call.head.resume_after else ""
+    return resumed or call.head.call_id
+
+
+def _era_of_record(progress: CallProgress) -> int | None:
+    """Returns the era in which the version was recorded, ``None`` if it is not yet."""
+    record = progress.version_record
+    return record.result() if record is not None and record.done() else None
 
 
 async def _wait_for_record(
