--- a/verbenagrade/platform/tests/endpoint_standin.py
+++ b/verbenagrade/platform/tests/endpoint_standin.py
@@ -16,10 +16,13 @@
 
 @dataclass(frozen=True)
 class ReceivedRequest:
+    """A request; ``raw`` are its bytes."""
+
     method: str
     path: str
     headers: dict
     body: bytes
+    raw: bytes = b""
 
 
 @dataclass
@@ -63,7 +66,7 @@
     async def serve(self, reader, writer):
         self.open_requests += 1
         try:
-            request = await _read_request(reader)
+            request = await read_request(reader)
             self.requests.append(request)
             handle = self.handlers[0]
             if len(self.handlers) > 1:
@@ -84,16 +87,16 @@
             writer.close()
 
 
-async def _read_request(reader) -> ReceivedRequest:
-    head = (await reader.readuntil(b"\r\n\r\n")).decode()
-    first, *lines = head.strip().split("\r\n")
+async def read_request(reader) -> ReceivedRequest:
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode().strip().split("\r\n")
     headers = {}
     for line in lines:
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", 0)))
     method, path, _ = first.split(" ")
-    return ReceivedRequest(method, path, headers, body)
+    return ReceivedRequest(method, path, headers, body, head + body)
 
 
 def response_head(request, status="200 OK", **headers) -> bytes:
--- a/verbenagrade/platform/tests/response_ends.py
+++ b/verbenagrade/platform/tests/response_ends.py
@@ -7,11 +7,19 @@
 import asyncio
 import socket
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+import aiohttp
+
+from verbenagrade.platform.tests.conftest import BOUNDS, configuration_document, route
 from verbenagrade.platform.tests.endpoint_standin import encode_event, response_head
 
 LAST_EVENT = 6
+TIMEOUT_MS = 900
+RETRY_SLACK = 10_000
+WAYS = ["direct", "relayed"]
+"""Whether the VM sends a call to its endpoint or has another one pass it on."""
+
 PAUSE_S = 0.01
 SILENCE_S = 60.0
 LISTENER_CLOSES_S = 0.01
@@ -75,7 +83,7 @@
                 writer.write(_chunk(data) if chunked else data)
         await writer.drain()
         await asyncio.sleep(PAUSE_S)
-        await _close(endpoint(request), writer, what.close)
+        await close_connection(endpoint(request), writer, what.close)
 
     return handle
 
@@ -84,7 +92,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-async def _close(endpoint, writer, how: str) -> None:
+async def close_connection(endpoint, writer, how: str) -> None:
     if how == "silence":
         await asyncio.sleep(SILENCE_S)
     if how == "last chunk":
@@ -130,3 +138,58 @@
 """Each framing, position and kind of end. What is left out can't be told from a sound
 response: one without a length that a living endpoint ends after an event, and a last
 chunk too early."""
+
+
+@dataclass(frozen=True)
+class Heard:
+    """What a caller was told: the status, the body, and whether it looked complete."""
+
+    status: int
+    body: bytes
+    complete: bool
+
+
+async def start(
+    testbed, way, max_attempts, *handlers, timeout_ms=TIMEOUT_MS, grace_s=8
+) -> None:
+    """Starts a gateway with two endpoints that share the handlers, in their order."""
+    streaming = {"timeout_ms": timeout_ms, "max_attempts": max_attempts}
+    routes = [
+        route("/resume/", "streaming", stream_resume=True, **streaming),
+        route("/stream/", "streaming", stream_resume=False, **streaming),
+        route("/once/", "unsafe", timeout_ms=timeout_ms, max_attempts=1),
+        route("/safe/", "safe", timeout_ms=timeout_ms, max_attempts=max_attempts),
+    ]
+    shared = list(handlers)
+    for _ in range(2):
+        endpoint = await testbed.add_endpoint()
+        endpoint.handlers = shared
+    bounds = replace(BOUNDS, retry_slack=RETRY_SLACK, grace_s=grace_s)
+    document = configuration_document(routes=routes, tenants=None)
+    await testbed.start(document, bounds=bounds)
+    await testbed.wait_until_ready()
+    if way == "direct":
+        return
+    await testbed.start_another()
+    await testbed.cut_off(testbed.gateway)
+    testbed.core.reach.cut_off = True
+    await testbed.wait_until(lambda: testbed.core.fleet.peers.peers)
+    await testbed.wait_until(lambda: testbed.core.relay_keys.keys)
+
+
+async def listen(testbed, path, **headers) -> Heard:
+    """Calls a path and returns what the caller is told."""
+    body, status = b"", 0
+    try:
+        async with testbed.open(path, **headers) as response:
+            status = response.status
+            while data := await response.content.readany():
+                body += data
+    except aiohttp.ClientError:
+        return Heard(status, body, False)
+    return Heard(status, body, True)
+
+
+def looks_whole(heard: Heard) -> bool:
+    """Returns whether a caller takes a response for a complete success."""
+    return heard.complete and heard.status == 200
--- a/verbenagrade/platform/tests/test_response_end_faults.py
+++ b/verbenagrade/platform/tests/test_response_end_faults.py
@@ -12,17 +12,21 @@
     response_head,
     stream,
 )
-from verbenagrade.platform.tests.response_ends import LAST_EVENT, Ending, events
-from verbenagrade.platform.tests.test_response_ends import (
-    DEFAULT_KNOWN_S,
+from verbenagrade.platform.tests.response_ends import (
+    LAST_EVENT,
     WAYS,
+    Ending,
     Heard,
-    at_endpoint,
+    events,
     listen,
     looks_whole,
-    read_to_end,
     start,
 )
+from verbenagrade.platform.tests.test_response_ends import (
+    DEFAULT_KNOWN_S,
+    at_endpoint,
+    read_to_end,
+)
 from verbenagrade.transport.gateway import delivery, relay_server
 
 EVENT_STREAM = "text/event-stream"
--- a/verbenagrade/platform/tests/test_response_ends.py
+++ b/verbenagrade/platform/tests/test_response_ends.py
@@ -5,12 +5,9 @@
 """
 
 import asyncio
-from dataclasses import dataclass, replace
 
-import aiohttp
 import pytest
 
-from verbenagrade.platform.tests.conftest import BOUNDS, configuration_document, route
 from verbenagrade.platform.tests.endpoint_standin import close_delimited, plain, stream
 from verbenagrade.platform.tests.response_ends import (
     ANOTHER_HEAD,
@@ -18,54 +15,19 @@
     LAST_EVENT,
     LISTENER_CLOSES_S,
     NO_EVENT,
+    TIMEOUT_MS,
+    WAYS,
     Ending,
+    Heard,
     ending,
     events,
+    listen,
+    looks_whole,
+    start,
 )
 
-TIMEOUT_MS = 900
 SILENCE_TIMEOUT_MS = "300"
 DEFAULT_KNOWN_S = 10.0
-RETRY_SLACK = 10_000
-WAYS = ["direct", "relayed"]
-"""Whether the VM sends a call to its endpoint or has another one pass it on."""
-
-
-@dataclass(frozen=True)
-class Heard:
-    """What a caller was told: the status, the body, and whether it looked complete."""
-
-    status: int
-    body: bytes
-    complete: bool
-
-
-async def start(
-    testbed, way, max_attempts, *handlers, timeout_ms=TIMEOUT_MS, grace_s=8
-) -> None:
-    """Starts a gateway with two endpoints that share the handlers, in their order."""
-    streaming = {"timeout_ms": timeout_ms, "max_attempts": max_attempts}
-    routes = [
-        route("/resume/", "streaming", stream_resume=True, **streaming),
-        route("/stream/", "streaming", stream_resume=False, **streaming),
-        route("/once/", "unsafe", timeout_ms=timeout_ms, max_attempts=1),
-        route("/safe/", "safe", timeout_ms=timeout_ms, max_attempts=max_attempts),
-    ]
-    shared = list(handlers)
-    for _ in range(2):
-        endpoint = await testbed.add_endpoint()
-        endpoint.handlers = shared
-    bounds = replace(BOUNDS, retry_slack=RETRY_SLACK, grace_s=grace_s)
-    document = configuration_document(routes=routes, tenants=None)
-    await testbed.start(document, bounds=bounds)
-    await testbed.wait_until_ready()
-    if way == "direct":
-        return
-    await testbed.start_another()
-    await testbed.cut_off(testbed.gateway)
-    testbed.core.reach.cut_off = True
-    await testbed.wait_until(lambda: testbed.core.fleet.peers.peers)
-    await testbed.wait_until(lambda: testbed.core.relay_keys.keys)
 
 
 def at_endpoint(testbed, what: Ending):
@@ -79,24 +41,6 @@
     return ending(find, what)
 
 
-async def listen(testbed, path, **headers) -> Heard:
-    """Calls a path and returns what the caller is told."""
-    body, status = b"", 0
-    try:
-        async with testbed.open(path, **headers) as response:
-            status = response.status
-            while data := await response.content.readany():
-                body += data
-    except aiohttp.ClientError:
-        return Heard(status, body, False)
-    return Heard(status, body, True)
-
-
-def looks_whole(heard: Heard) -> bool:
-    """Returns whether a caller takes a response for a complete success."""
-    return heard.complete and heard.status == 200
-
-
 # Guards against a stream that goes on at an endpoint which breaks off without any event
 # and is told as complete.
 @pytest.mark.parametrize("close", ["fin", "exit"])
