Send no call that can't end before the process does

Other operators reported calls that came late in the grace period of a planned stop, were passed on and were cut off at its end without an answer, among them calls that may not be repeated. It can happen here: a call was asked once, when its head had arrived, whether the process takes calls. One that had waited for its body, its budget or its next attempt was sent however late it was, and between the signal and the time at which calls are rejected each call was, whatever its timeout. The same held for bodies from other VMs.

Each call now has a last moment at which it may be sent: any, if its deadline is before the end of the process; else by what the last calls of its route have taken, the longest for those that may not run again. After that it is refused as not run with Retry-After, when it arrives, as soon as it has waited too long, or in place of a retry. Calls without a response at the end are answered 502 before the process exits.

Before: 21 of the 33 cases in test_planned_stop failed (each path that may be repeated or not; slow bodies; a budget out of reach; retries; another VM). After: all pass. The tests for calls that were sent before the stop failed with a first form of the fix, which refused them as not run; a limit now ends with the first send.

--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -28,6 +28,12 @@
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import find_cause, is_on_trial
 from verbenagrade.transport.gateway.forwarding import forward
+from verbenagrade.transport.gateway.send_limits import SendLimit
+from verbenagrade.transport.gateway.stopping import (
+    can_end,
+    latest_start_of,
+    until_sent,
+)
 
 __all__ = ["handle_call"]
 
@@ -52,8 +58,9 @@
     try:
         head = _read_head(core, request)
         call_id = head.call_id
-        call = await _admit(core, request, head, started_at)
-        return await _serve(core, request, call)
+        async with until_sent(core) as limit:
+            call = await _admit(core, request, head, started_at, limit)
+            return await _serve(core, request, call, limit)
     except RefusedError as error:
         log_event(
             Event.CALL_REFUSED,
@@ -98,9 +105,13 @@
 
 
 async def _admit(
-    core: GatewayCore, request: web.BaseRequest, head: CallHead, started_at: float
+    core: GatewayCore,
+    request: web.BaseRequest,
+    head: CallHead,
+    started_at: float,
+    limit: SendLimit,
 ) -> Call:
-    """Validates a request and returns the call.
+    """Validates a request and returns the call; ``limit`` ends its wait.
 
     Raises ``RefusedError`` if the call may not be served.
     """
@@ -112,7 +123,9 @@
     if _head_bytes(request) > index.configuration.limits.header_bytes:
         raise RefusedError(refusals.HEAD_TOO_LARGE)
     # A call that its head shows to be refused is not worth the memory for its body.
-    _find_workspace(core, index, _find_route(core, index, head), head)
+    route = _find_route(core, index, head)
+    _find_workspace(core, index, route, head)
+    _limit_wait(core, route, head, started_at, limit)
     check_load(core)
     body = await read_body(core, request, index.configuration.limits.body_bytes)
     call = _build_call(core, request, head, body, started_at)
@@ -123,6 +136,28 @@
     return call
 
 
+def _limit_wait(
+    core: GatewayCore,
+    route: RouteEntry,
+    head: CallHead,
+    started_at: float,
+    limit: SendLimit,
+) -> None:
+    """Sets until when a call may wait before it is sent.
+
+    Raises ``RefusedError`` if it can't end any more before the process does.
+    """
+    deadline = _deadline(route, head, started_at)
+    limit.latest_start = latest_start_of(core, route.name, route.kind, deadline)
+    if not can_end(core, limit.latest_start):
+        raise RefusedError(refusals.STOPPING)
+    limit.apply(core.clock(), core.ends_at)
+
+
+def _deadline(route: RouteEntry, head: CallHead, started_at: float) -> float:
+    return started_at + min(head.timeout_s, route.timeout_s)
+
+
 def _build_call(
     core: GatewayCore,
     request: web.BaseRequest,
@@ -150,7 +185,7 @@
         workspace=workspace,
         shape=_call_shape(route, entry, head),
         started_at=started_at,
-        deadline=started_at + min(head.timeout_s, route.timeout_s),
+        deadline=_deadline(route, head, started_at),
     )
 
 
@@ -238,9 +273,9 @@
 
 
 async def _serve(
-    core: GatewayCore, request: web.BaseRequest, call: Call
+    core: GatewayCore, request: web.BaseRequest, call: Call, limit: SendLimit
 ) -> web.StreamResponse:
-    progress = CallProgress(call.head.resume_after)
+    progress = CallProgress(call.head.resume_after, limit)
     token_bound = call.head.tokens.total if call.budgeted else 0
     workspace = call.workspace.name if call.workspace else ""
     reservation: Reservation | None = None
@@ -311,6 +346,8 @@
         core.metrics.first_answer_s.observe(labels, first_response_at - call.started_at)
     core.metrics.duration_s.observe(labels, now - call.started_at)
     core.metrics.requests.inc({"outcome": str(result.status)})
+    if progress.outcome.state == "answered":
+        core.durations.record(call.route.name, now - call.started_at)
     log_event(
         Event.CALL_ENDED,
         call=call.head.call_id,
--- a/verbenagrade/transport/gateway/calls.py
+++ b/verbenagrade/transport/gateway/calls.py
@@ -11,6 +11,7 @@
 from verbenagrade.state.placement import Placement
 from verbenagrade.state.response_end import Framing
 from verbenagrade.state.routes import RouteEntry, WorkspaceEntry
+from verbenagrade.transport.gateway.send_limits import SendLimit
 from verbenagrade.transport.sends import SentRequest
 
 __all__ = ["Call", "CallProgress", "CallResult", "shared_parts"]
@@ -97,6 +98,7 @@
 class CallProgress:
     """The progress of a call over all endpoints that it was sent to.
 
+    ``send_limit`` ends the wait of the call before it is first sent.
     ``limited_endpoints`` are the incarnations whose limits left no call for this VM
     when an endpoint was last chosen. ``placements`` counts the endpoints chosen.
     ``possible_runs`` counts the attempts after which the call may have run.
@@ -113,7 +115,8 @@
     call's tokens are reserved. Times are in seconds, on the clock of the process.
     """
 
-    def __init__(self, resume_after: str) -> None:
+    def __init__(self, resume_after: str, send_limit: SendLimit | None = None) -> None:
+        self.send_limit = send_limit
         self.outcome = RequestOutcome()
         self.outcome.advance("reserve")
         self.placements = 0
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -20,11 +20,13 @@
 from verbenagrade.protocol.relay import NonceMemory
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.brittle_endpoints import BrittleEndpoints
+from verbenagrade.state.call_durations import CallDurations
 from verbenagrade.state.directory import EndpointDirectory, EndpointEntry
 from verbenagrade.state.endpoint_pauses import EndpointPauses
 from verbenagrade.state.placement import PlacementTable
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
+from verbenagrade.transport.gateway.send_limits import SendLimit
 
 __all__ = ["BodyBytes", "BrokenCall", "CrashCheck", "GatewayCore", "Reach"]
 
@@ -119,8 +121,10 @@
     """The state of a gateway: configuration, endpoints, budgets and counters.
 
     While ``stopping`` is set, the readiness check fails and responses close their
-    connections. While ``rejecting_calls`` is set, new calls are refused. Once
-    ``endpoints_closed`` is set, connections to endpoints are closed from here.
+    connections. Calls in flight are broken off at ``ends_at``, in seconds, which is
+    ``None`` before; ``send_limits`` are those of calls that no endpoint has yet. While
+    ``rejecting_calls`` is set, new calls are refused. Once ``endpoints_closed`` is set,
+    connections to endpoints are closed from here.
     """
 
     def __init__(
@@ -170,6 +174,9 @@
         self.body_bytes = BodyBytes()
         self.started_at = clock()
         self.stopping = False
+        self.ends_at: float | None = None
+        self.send_limits: set[SendLimit] = set()
+        self.durations = CallDurations()
         self.rejecting_calls = False
         self.endpoints_closed = False
         self.background: set[asyncio.Task[None]] = set()
@@ -192,6 +199,13 @@
         longest_s = max((route.timeout_s for route in routes), default=0.0)
         return max(MIN_STREAM_LIFE_S, STREAM_LIFE_FACTOR * longest_s)
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Begins the stop of the process, which breaks off calls at ``ends_at``."""
+        self.stopping = True
+        self.ends_at = ends_at
+        for limit in self.send_limits:
+            limit.apply(self.clock(), ends_at)
+
     def run_in_background(self, coroutine: Coroutine[None, None, None]) -> None:
         """Runs a coroutine as a task that no caller waits for."""
         task = asyncio.create_task(coroutine)
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -39,6 +39,7 @@
 )
 from verbenagrade.transport.gateway.notices import record_notices
 from verbenagrade.transport.gateway.reach import is_cut_off
+from verbenagrade.transport.gateway.stopping import may_begin
 from verbenagrade.transport.gateway.upstream import UpstreamResponse, open_upstream
 from verbenagrade.transport.gateway.versions import (
     begin_record,
@@ -108,6 +109,8 @@
         if entry is None:
             refusal = refusal_without_endpoint(core, progress)
             return _fail_call(core, call, progress, writer, refusal)
+        if progress.send_limit is not None:
+            await progress.send_limit.end()
         try:
             response = await _send(core, call, progress, writer, entry)
         except SendFailedError as error:
@@ -273,7 +276,8 @@
         progress.outcome.advance("reserve")
     progress.excluded_endpoints.add(entry.name)
     now = core.clock()
-    allowed = now < call.deadline and is_retry_allowed(
+    in_time = now < call.deadline and may_begin(core, call, progress)
+    allowed = in_time and is_retry_allowed(
         call.kind,
         call.route.max_runs,
         progress.possible_runs,
@@ -322,7 +326,8 @@
     core: GatewayCore, call: Call, progress: CallProgress
 ) -> refusals.Refusal:
     if progress.outcome.state == "reserved":
-        return refusals.NO_ENDPOINT
+        ends_first = not may_begin(core, call, progress)
+        return refusals.STOPPING if ends_first else refusals.NO_ENDPOINT
     if core.clock() >= call.deadline:
         return refusals.TIMED_OUT
     return refusals.ENDPOINT_FAILED
--- a/verbenagrade/transport/gateway/handover.py
+++ b/verbenagrade/transport/gateway/handover.py
@@ -15,6 +15,7 @@
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.limits import choose_within_limits
 from verbenagrade.transport.gateway.reach import accepts_connection
+from verbenagrade.transport.gateway.stopping import may_begin
 
 __all__ = ["hand_over", "may_be_handed_over"]
 
@@ -41,6 +42,9 @@
 
     The result is also false if ``entry`` has responded in the meantime.
     """
+    if not may_begin(core, call, progress):
+        _log_kept_call(call, progress, entry)
+        return False
     successor = await _find_successor(core, call, progress, entry)
     if has_responded():
         return False
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -64,6 +64,10 @@
 GRANT_RETURN_TIMEOUT_S = 0.8
 """Timeout for the return of grants during shutdown, in seconds."""
 
+LAST_ANSWERS_S = 0.2
+"""Time for the last answers, in seconds: calls whose endpoints have not responded when
+their connections are closed are answered as ones that may have run."""
+
 IDLE_POLL_S = 0.05
 FLEET_LONG_POLL_S = 8.0
 """How long the store may hold a long poll of the fleet table, in seconds. A long
@@ -315,8 +319,8 @@
     async def _shut_down(self) -> None:
         core = self.core
         log_event(Event.PROCESS_STOPPING, in_flight=core.in_flight)
-        core.stopping = True
         deadline = self.clock() + core.settings.bounds.grace_s - SIGKILL_MARGIN_S
+        core.begin_stop(deadline)
         await asyncio.sleep(READINESS_PROPAGATION_S)
         core.rejecting_calls = True
         self.budgets.stop_accepting()
@@ -330,10 +334,12 @@
         except TimeoutError:
             log_event(Event.GRANTS_NOT_RETURNED, timeout_s=GRANT_RETURN_TIMEOUT_S)
         await self._wait_until_idle(deadline)
-        self.budgets.close()
-        log_event(Event.PROCESS_STOPPED, in_flight=core.in_flight)
         core.endpoints_closed = True
-        await asyncio.gather(self.endpoint_session.close(), self.store_session.close())
+        await self.endpoint_session.close()
+        await self._wait_until_idle(self.clock() + LAST_ANSWERS_S)
+        log_event(Event.PROCESS_STOPPED, in_flight=core.in_flight)
+        self.budgets.close()
+        await self.store_session.close()
 
     async def _wait_until_idle(self, deadline: float) -> None:
         """Waits until no call is in flight, at most until ``deadline``."""
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -44,6 +44,7 @@
     read_chunk,
     send_to_endpoint,
 )
+from verbenagrade.transport.gateway.stopping import until_sent
 from verbenagrade.transport.response_ends import ended_with_reset, read_framing
 from verbenagrade.transport.sends import SentRequest
 
@@ -126,9 +127,12 @@
     limit = core.route_index.configuration.limits.body_bytes if core.route_index else 0
     try:
         check_load(core)
-        body = await read_body(core, request, limit)
+        async with until_sent(core) as wait:
+            wait.latest_start = lambda _ends_at: float("-inf")
+            body = await read_body(core, request, limit)
     except RefusedError as error:
-        raise NotPassedOnError(RelayResult.REJECTED, str(error)) from error
+        result = RelayResult.CUT_OFF if core.stopping else RelayResult.REJECTED
+        raise NotPassedOnError(result, str(error)) from error
     digest = request_digest(relayed.method, relayed.path, body)
     if digest != relayed.order.request_digest:
         raise NotPassedOnError(RelayResult.REJECTED, "the request was changed")
