Send calls that may not run again late in a stop only within their deadline

The longest of the last calls of a route is no bound for the next one: in the soak's new mode (--stops, planned stops under long calls and slow bodies), calls of 6.5 s come once in 25. A call that may not run again is now sent in a stop only if its deadline is before the end; others as before, by what nine of ten of their route take, if ten are known.

The mode checks what calls are told that were sent after a signal.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
     run_limit_seed,
     run_row_seed,
     run_seed,
+    run_stop_seed,
 )
 
 EXIT_VIOLATIONS = 1
@@ -40,11 +41,20 @@
     rows: Annotated[
         bool, typer.Option(help="Write odd rows and play a release instead.")
     ] = False,
+    stops: Annotated[
+        bool, typer.Option(help="Stop gateways as planned under long calls instead.")
+    ] = False,
 ) -> None:
     """Runs the seeds one after another and prints each violated invariant."""
     play = partial(run_seed, drills=drills, faults=faults)
-    modes = (ends, run_end_seed), (rows, run_row_seed)
-    for chosen, mode in (*modes, (crashes, run_crash_seed), (limits, run_limit_seed)):
+    modes = (
+        (ends, run_end_seed),
+        (rows, run_row_seed),
+        (stops, run_stop_seed),
+        (crashes, run_crash_seed),
+        (limits, run_limit_seed),
+    )
+    for chosen, mode in modes:
         play = mode if chosen else play
     failed = 0
     for seed in range(first, first + seeds):
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -37,7 +37,7 @@
     """Runs gateways as processes, with store and endpoints behind loopback proxies.
 
     ``versions`` are those of the endpoints, in turn, and ``passes_resets`` is that of
-    their proxies.
+    their proxies. ``routes`` replaces the usual routes unless it is empty.
     """
 
     def __init__(
@@ -60,6 +60,7 @@
         self.addresses: list[str] = []
         self.log_directory = Path(tempfile.mkdtemp(prefix="verbenagrade-soak-"))
         self.configuration_version = 1
+        self.routes: list[dict[str, object]] = []
         self.network_prefix = (
             f"127.{100 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
         )
@@ -88,7 +89,10 @@
             "api_keys": [API_KEY],
             "prepaid": self.prepaid_tokens,
         }
-        document = configuration_document(self.configuration_version, tenants=[tenant])
+        routes = {"routes": self.routes} if self.routes else {}
+        document = configuration_document(
+            self.configuration_version, tenants=[tenant], **routes
+        )
         self.store.put("op", "config", document)
         self.configuration_version += 1
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from soak.faults import inject_drills, inject_faults
 from soak.limits import play_limits
 from soak.rows import FIRST_VERSION, play_rows
+from soak.stops import play_stops
 
 __all__ = [
     "SoakReport",
@@ -23,6 +24,7 @@
     "run_limit_seed",
     "run_row_seed",
     "run_seed",
+    "run_stop_seed",
 ]
 
 Play = Callable[
@@ -137,6 +139,14 @@
     return await _run_play(play_rows, seed, seconds, environment)
 
 
+async def run_stop_seed(seed: int, seconds: float) -> SoakReport:
+    """Stops gateways as planned, under long calls, for ``seconds``.
+
+    ``run_count`` is the number of runs at endpoints.
+    """
+    return await _run_play(play_stops, seed, seconds)
+
+
 async def _run_play(
     play: Play,
     seed: int,
--- a/verbenagrade/state/call_durations.py
+++ b/verbenagrade/state/call_durations.py
@@ -3,8 +3,6 @@
 from collections import OrderedDict, deque
 from math import ceil
 
-from verbenagrade.state.calls import CallKind
-
 __all__ = ["CallDurations", "latest_start"]
 
 MAX_DURATIONS = 64
@@ -17,6 +15,9 @@
 USUAL_FRACTION = 0.9
 """Fraction of the calls that are no longer than the usual duration."""
 
+MIN_DURATIONS = 10
+"""Number of durations that tell what is usual."""
+
 
 class CallDurations:
     """The durations of the last calls of each route, in seconds."""
@@ -32,25 +33,18 @@
         if len(self.by_route) > MAX_ROUTES:
             self.by_route.popitem(last=False)
 
-    def expected_s(self, route: str, kind: CallKind) -> float | None:
-        """Returns how long a call of a route may last, ``None`` if nothing is known.
-
-        For calls that may not run again that is the longest duration, since one that
-        is broken off is lost. For others it is what nine of ten calls don't exceed.
+    def usual_s(self, route: str) -> float | None:
+        """Returns what nine of ten calls of a route don't exceed, ``None`` if unknown.
 
         >>> durations = CallDurations()
         >>> for duration_s in (0.1, 0.1, 0.1, 0.2, 0.2, 0.2, 0.2, 0.2, 0.3, 4.0):
         ...     durations.record("drafts", duration_s)
-        >>> durations.expected_s("drafts", CallKind.RESUMABLE_STREAM)
+        >>> durations.usual_s("drafts")
         0.3
-        >>> durations.expected_s("drafts", CallKind.SINGLE_STREAM)
-        4.0
         """
-        known = self.by_route.get(route)
-        if not known:
+        known = self.by_route.get(route, ())
+        if len(known) < MIN_DURATIONS:
             return None
-        if not kind.retryable:
-            return max(known)
         return sorted(known)[ceil(USUAL_FRACTION * len(known)) - 1]
 
 
--- a/verbenagrade/transport/gateway/stopping.py
+++ b/verbenagrade/transport/gateway/stopping.py
@@ -44,8 +44,11 @@
     """Returns until when a call of a route may be sent."""
 
     def latest(ends_at: float) -> float:
-        """Returns that time, from the durations of calls known by now."""
-        expected_s = core.durations.expected_s(route, kind)
+        """Returns that time, from the durations of calls known by now.
+
+        A call that may not run again has all of its time.
+        """
+        expected_s = core.durations.usual_s(route) if kind.retryable else None
         return latest_start(deadline, ends_at, expected_s)
 
     return latest
