Ask a holder that was slow once more before a call is refused

Nothing heard in time is no proof that there is nothing.

A call that would be refused because no tokens are reached now asks first holders once more that are avoided and do not yet count as gone. It costs calls that are refused anyway 0.25 s at most for each of them, and nothing where the store responds.

The soak can run another build on every second gateway now (--beside), and does not count a call that reaches its own deadline in a planned stop.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from functools import partial
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -44,13 +45,21 @@
     stops: Annotated[
         bool, typer.Option(help="Stop gateways as planned under long calls instead.")
     ] = False,
+    beside: Annotated[
+        Path | None,
+        typer.Option(
+            help="Folder of another build, which every second gateway runs; plain, with"
+            " drills or with stops."
+        ),
+    ] = None,
 ) -> None:
     """Runs the seeds one after another and prints each violated invariant."""
-    play = partial(run_seed, drills=drills, faults=faults)
+    other_build = beside.resolve() if beside is not None else None
+    play = partial(run_seed, drills=drills, faults=faults, other_build=other_build)
     modes = (
         (ends, run_end_seed),
         (rows, run_row_seed),
-        (stops, run_stop_seed),
+        (stops, partial(run_stop_seed, other_build=other_build)),
         (crashes, run_crash_seed),
         (limits, run_limit_seed),
     )
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -37,7 +37,8 @@
     """Runs gateways as processes, with store and endpoints behind loopback proxies.
 
     ``versions`` are those of the endpoints, in turn, and ``passes_resets`` is that of
-    their proxies. ``routes`` replaces the usual routes unless it is empty.
+    their proxies. ``routes`` replaces the usual routes unless it is empty. Every second
+    gateway runs the build in the folder ``other_build``, if there is one.
     """
 
     def __init__(
@@ -45,7 +46,9 @@
         seed: int,
         versions: tuple[str, ...] = SOFTWARE_VERSIONS,
         passes_resets: bool = False,
+        other_build: Path | None = None,
     ) -> None:
+        self.other_build = other_build
         self.versions = versions
         self.passes_resets = passes_resets
         self.rng = random.Random(seed)
@@ -105,6 +108,8 @@
         previous = self.processes[number]
         if previous is not None and previous.poll() is None:
             return
+        other = self.other_build if number % 2 else None
+        environment = {"PYTHONPATH": str(other)} if other else {}
         log = (self.log_directory / f"front-{number}.log").open("ab")
         self.processes[number] = subprocess.Popen(
             [
@@ -113,6 +118,8 @@
                 "verbenagrade.commands.gateway",
                 str(self._settings_path(number)),
             ],
+            cwd=other,
+            env={**os.environ, **environment},
             stdout=log,
             stderr=log,
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,14 +54,19 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, drills: bool = False, faults: bool = True
+    seed: int,
+    seconds: float,
+    drills: bool = False,
+    faults: bool = True,
+    other_build: Path | None = None,
 ) -> SoakReport:
     """Runs gateways, clients and faults for ``seconds``, then lets open calls end.
 
     With ``drills``, the store comes back from older copies besides, and without
-    ``faults`` nothing else happens to it or to the processes.
+    ``faults`` nothing else happens to it or to the processes. Every second gateway runs
+    ``other_build``, the folder of one, if it is given.
     """
-    environment = SoakEnvironment(seed)
+    environment = SoakEnvironment(seed, other_build=other_build)
     environment.store.era = 1
     await environment.start()
     stop = asyncio.Event()
@@ -139,12 +144,16 @@
     return await _run_play(play_rows, seed, seconds, environment)
 
 
-async def run_stop_seed(seed: int, seconds: float) -> SoakReport:
+async def run_stop_seed(
+    seed: int, seconds: float, other_build: Path | None = None
+) -> SoakReport:
     """Stops gateways as planned, under long calls, for ``seconds``.
 
-    ``run_count`` is the number of runs at endpoints.
+    ``run_count`` is the number of runs at endpoints. ``other_build`` is as for
+    ``run_seed``.
     """
-    return await _run_play(play_stops, seed, seconds)
+    environment = SoakEnvironment(2 * seed, other_build=other_build)
+    return await _run_play(play_stops, seed, seconds, environment)
 
 
 async def _run_play(
--- a/soak/stops.py
+++ b/soak/stops.py
@@ -162,12 +162,13 @@
         except (aiohttp.ClientError, OSError):
             self.checker.status_counts["lost"] += 1
         self._check(path, call, begun_by, status, bytes(received), whole, versions)
-        if sent[-1] > self.stopped_at.get(address, _now()):
+        in_time = _now() < sent[0] + TIMEOUT_S
+        if in_time and sent[-1] > self.stopped_at.get(address, _now()):
             self._check_late(call, status, whole)
         return whole
 
     def _check_late(self, call: str, status: int, whole: bool) -> None:
-        """Checks what a call that was sent after a signal is told.
+        """Checks what a call is told that was sent after a signal and has time left.
 
         It may have come to the next process, where it is served as well.
         """
--- a/verbenagrade/coordination/fleet_budgets.py
+++ b/verbenagrade/coordination/fleet_budgets.py
@@ -146,10 +146,13 @@
             if parts:
                 return self._collected(workspace, parts)
         if reply.status is ReserveStatus.UNAVAILABLE:
-            # The first holder may be the only one that does not reach the store.
-            reply, _ = await self._ask_first(rest, request, reply)
-            if reply.part is not None:
-                return Reservation(workspace, (reply.part,))
+            # The first holder may be the only one that does not reach the store, and
+            # one that did not reply in time may only have been slow.
+            avoided = tuple(filter(self._may_return, self._first_ranked(workspace)))
+            for holders in (rest, avoided):
+                reply, _ = await self._ask_first(holders, request, reply)
+                if reply.part is not None:
+                    return Reservation(workspace, (reply.part,))
         raise self._refusal(workspace, bound, free, unreachable, reply)
 
     def settle(self, reservation: Reservation, used: int) -> None:
--- a/verbenagrade/coordination/tests/test_fleet_budgets.py
+++ b/verbenagrade/coordination/tests/test_fleet_budgets.py
@@ -267,6 +267,19 @@
     assert [manager.held_tokens(BUDGET).at_once for manager in fleet.managers] == free
 
 
+# Guards against calls refused in an outage because the holder was slow to reply once:
+# under load that takes longer than a reply may, and then it was avoided.
+async def test_without_the_store_a_holder_that_did_not_reply_is_asked_once_more():
+    fleet = LendingFleet()
+    await tokens_in_all_holders(fleet)
+    holder = next(vm for vm in (0, 1) if fleet.budgets[vm].is_holder(BUDGET))
+    fleet.store.unavailable = True
+    fleet.unreachable = {2}
+    tokens = fleet.managers[holder].held_tokens(BUDGET).at_once
+    fleet.reply_lost = True
+    assert await fleet.begin(1 - holder, tokens)
+
+
 # Guards against a final refusal while tokens exist that can't be reached now.
 async def test_call_is_not_refused_for_good_while_a_holder_is_not_reached():
     fleet = LendingFleet()
