Wait in a test of an outage until the holder's report covers its calls

Between two reports of its spending a holder spends only what the last one covers and so much a second, so that no more is lost with it. The test let the store fall silent right after the first five calls, at times before the report that counts them had arrived. The calls were refused truly, and come back; that is the design (docs/design/budgets).

--- a/verbenagrade/platform/tests/test_fleet_reservations.py
+++ b/verbenagrade/platform/tests/test_fleet_reservations.py
@@ -27,6 +27,8 @@
 
 WORKSPACE = "hotel"
 CALL = {"Token_Count": "100,100"}
+CALL_TOKENS, USED_TOKENS = 200, 121
+CALLS = 3
 
 
 @pytest.fixture
@@ -73,11 +75,15 @@
     holder, spender = holder_and_spender(fleet)
     for _ in range(5):
         await fleet.call("/stream/", gateway=holder, **CALL)
+    # Without the store, a holder spends no more than its last report covers.
+    needed = (CALLS - 1) * USED_TOKENS + CALL_TOKENS
+    held = holder.core.allowance_manager.held_tokens
+    await fleet.wait_until(lambda: held(WORKSPACE).at_once >= needed)
     fleet.store.unresponsive = True
     statuses = [
-        (await fleet.call("/stream/", gateway=spender, **CALL))[0] for _ in range(3)
+        (await fleet.call("/stream/", gateway=spender, **CALL))[0] for _ in range(CALLS)
     ]
-    assert statuses == [200] * 3
+    assert statuses == [200] * CALLS
 
 
 async def test_call_is_served_at_once_after_the_holder_has_ended(fleet):
