--- a/verbenagrade/platform/tests/test_planned_stop.py
+++ b/verbenagrade/platform/tests/test_planned_stop.py
@@ -27,6 +27,7 @@
 TIMEOUT_MS = 6000
 SHORT_TIMEOUT_MS = 1000
 LONG_S = 4.0
+MANY_CALLS = 60
 STREAMS = ["/stream/x", "/resume/x"]
 PATHS = ["/once/x", "/safe/x", *STREAMS]
 RETRYABLE = ["/safe/x", "/resume/x"]
@@ -222,3 +223,14 @@
     fleet.core.begin_stop(fleet.core.clock() + STOPS_AFTER_S)
     assert_refused_as_not_run(await asyncio.wait_for(calling, 1.0))
     assert received(fleet) == 0
+
+
+# Guards against a process that exits while the last answers are being written.
+async def test_process_ends_only_after_the_last_answers(fleet):
+    serve(fleet, delayed(LONG_S, plain()))
+    calls = [asyncio.create_task(call(fleet, "/once/x")) for _ in range(MANY_CALLS)]
+    await fleet.wait_until(lambda: received(fleet) == MANY_CALLS)
+    fleet.stop.set()
+    await fleet.gateway_task
+    assert fleet.core.in_flight == 0
+    assert {status for status, _, _ in await asyncio.gather(*calls)} == {502}
