Leave half a second between the expected end of a call and that of its process

Calls of its route take 2 ms, so that its last moment was 2 ms before that: in time to be sent, but its refusal, and the answer of one sent then, race with the end. A call whose deadline is not before the end is now expected to end 0.5 s earlier than it. The bound in the test is unchanged.

--- a/soak/run.py
+++ b/soak/run.py
@@ -31,6 +31,8 @@
     [SoakEnvironment, int, float], Awaitable[tuple[Counter[str], int, list[Violation]]]
 ]
 
+Injector = Callable[[SoakEnvironment, random.Random, asyncio.Event], Awaitable[None]]
+
 CLIENTS = 10
 FAULT_INJECTORS = 2
 THREE_VERSIONS = ("v1", "v2", "v3")
@@ -80,15 +82,9 @@
         async with asyncio.TaskGroup() as group:
             for client in clients:
                 group.create_task(client.run(stop))
-            if drills:
-                rng = random.Random(seed * 100 + FAULT_INJECTORS)
-                group.create_task(inject_drills(environment, rng, stop))
-            if drills and seed % MASS_KILL_SEEDS == 2:
-                rng = random.Random(seed * 100 + FAULT_INJECTORS + 1)
-                group.create_task(inject_mass_kills(environment, rng, stop))
-            for number in range(FAULT_INJECTORS if faults else 0):
+            for inject, number in _injectors(seed, drills, faults):
                 rng = random.Random(seed * 100 + number)
-                group.create_task(inject_faults(environment, rng, stop))
+                group.create_task(inject(environment, rng, stop))
             await asyncio.sleep(seconds)
             stop.set()
     finally:
@@ -104,6 +100,18 @@
     )
 
 
+def _injectors(seed: int, drills: bool, faults: bool) -> list[tuple[Injector, int]]:
+    """Returns what injects faults in a seed, each with the number of its generator."""
+    injectors: list[tuple[Injector, int]] = []
+    if drills:
+        injectors.append((inject_drills, FAULT_INJECTORS))
+    if drills and seed % MASS_KILL_SEEDS == 2:
+        injectors.append((inject_mass_kills, FAULT_INJECTORS + 1))
+    if faults:
+        injectors += ((inject_faults, number) for number in range(FAULT_INJECTORS))
+    return injectors
+
+
 def _new_clients(environment: SoakEnvironment, seed: int) -> list[Client]:
     """Returns the clients of a seed."""
     return [
--- a/verbenagrade/coordination/fleet_budgets.py
+++ b/verbenagrade/coordination/fleet_budgets.py
@@ -25,7 +25,7 @@
     HeldTokens,
     Reservation,
     ReservedPart,
-    choose_parts,
+    choose_held_parts,
     split_usage,
 )
 
@@ -141,7 +141,7 @@
         for depth in range(1, MAX_COLLECTIONS + 1):
             free, failed = await self._free_tokens(workspace, depth)
             unreachable += failed
-            chosen = _choose_parts(free, bound)
+            chosen = choose_held_parts(free, bound)
             parts = await self._reserve_parts(workspace, chosen)
             if parts:
                 return self._collected(workspace, parts)
@@ -333,14 +333,6 @@
         return _shortage_error(workspace, bound, shortage)
 
 
-def _choose_parts(
-    free: dict[str, HeldTokens], bound: int
-) -> tuple[tuple[str, int], ...]:
-    """Chooses parts that need no store if possible: it may be away without a sign."""
-    at_once = choose_parts({vm: held.at_once for vm, held in free.items()}, bound)
-    return at_once or choose_parts({vm: h.free for vm, h in free.items()}, bound)
-
-
 def _shortage_error(
     workspace: str, bound: int, shortage: Shortage
 ) -> BudgetExhaustedError | UnavailableError:
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -167,7 +167,7 @@
             return StreamOrigin(version, "served here")
         origin = await self._read_with_retries(service, call_id, asked_at)
         if origin.version is not None:
-            stream = BegunStream(origin.version, max(1, origin.number), asked_at)
+            stream = BegunStream(origin.version, max(1, origin.number), self.clock())
             self.begun.record(call_id, stream)
         return origin
 
--- a/verbenagrade/state/call_durations.py
+++ b/verbenagrade/state/call_durations.py
@@ -18,6 +18,9 @@
 MIN_DURATIONS = 10
 """Number of durations that tell what is usual."""
 
+END_MARGIN_S = 0.5
+"""Time between the expected end of a call and that of the process, in seconds."""
+
 
 class CallDurations:
     """The durations of the last calls of each route, in seconds."""
@@ -51,16 +54,18 @@
 def latest_start(deadline: float, ends_at: float, expected_s: float | None) -> float:
     """Returns the last time at which a call may be sent, if the process ends then.
 
-    ``expected_s`` is how long the call may last, ``None`` if that is not known: such a
+    ``expected_s`` is how long the call is expected to last, ``None`` if that is not known: such a
     call may last until its deadline. Times are in seconds.
 
     >>> latest_start(deadline=12.0, ends_at=20.0, expected_s=3.0)
     12.0
     >>> latest_start(deadline=30.0, ends_at=20.0, expected_s=3.0)
-    17.0
+    16.5
     >>> latest_start(deadline=30.0, ends_at=20.0, expected_s=None)
     -inf
     """
     if deadline <= ends_at:
         return deadline
-    return float("-inf") if expected_s is None else ends_at - expected_s
+    if expected_s is None:
+        return float("-inf")
+    return ends_at - END_MARGIN_S - expected_s
--- a/verbenagrade/state/reservations.py
+++ b/verbenagrade/state/reservations.py
@@ -13,6 +13,7 @@
     "Reservation",
     "ReservedPart",
     "SpenderAccount",
+    "choose_held_parts",
     "choose_parts",
     "split_usage",
 ]
@@ -156,3 +157,11 @@
             raise ValueError(f"{used} tokens used of {tokens} that were reserved")
         del self.held[number]
         return workspace, tokens
+
+
+def choose_held_parts(
+    free: dict[str, HeldTokens], bound: int
+) -> tuple[tuple[str, int], ...]:
+    """Chooses parts that need no store if possible: it may be away without a sign."""
+    at_once = choose_parts({vm: held.at_once for vm, held in free.items()}, bound)
+    return at_once or choose_parts({vm: h.free for vm, h in free.items()}, bound)
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -21,7 +21,12 @@
 from verbenagrade.transport.gateway.holder_links import HolderLinkTable
 from verbenagrade.transport.gateway.holder_server import HolderServer
 
-__all__ = ["GatewayBudgets", "make_versions"]
+__all__ = ["GatewayBudgets", "make_versions", "missing_endpoint_hold_s"]
+
+MISSING_ENDPOINT_HOLD_FRACTION = 0.5
+"""Fraction of the drain time for which an endpoint whose entry is missing is kept."""
+
+MS_PER_S = 1000
 
 
 class GatewayBudgets:
@@ -119,3 +124,8 @@
     records = StreamRecords(table, clock, time, eras, rng, vm_count)
     writes_per_s = settings.store.writes_per_s
     return StreamVersions(table, records, clock, time, eras, view, writes_per_s, rng)
+
+
+def missing_endpoint_hold_s(settings: GatewaySettings) -> float:
+    """Returns how long an endpoint whose entry is missing is kept, in seconds."""
+    return MISSING_ENDPOINT_HOLD_FRACTION * settings.bounds.drain_ms / MS_PER_S
--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -24,7 +24,8 @@
     read_body,
     release_body,
 )
-from verbenagrade.transport.gateway.calls import Call, CallProgress, CallResult
+from verbenagrade.transport.gateway.call_results import record_end, used_tokens
+from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import find_cause, is_on_trial
 from verbenagrade.transport.gateway.forwarding import forward
@@ -62,20 +63,7 @@
             call = await _admit(core, request, head, started_at, limit)
             return await _serve(core, request, call, limit)
     except RefusedError as error:
-        log_event(
-            Event.CALL_REFUSED,
-            call=call_id,
-            status=error.refusal.status,
-            reason=str(error),
-            contact_age_s=round(
-                core.configuration_freshness.staleness_s(core.clock()), 3
-            ),
-        )
-        core.metrics.requests.inc({"outcome": str(error.refusal.status)})
-        headers = dict(core.call_format.refusal_headers(call_id))
-        return _close_if_stopping(
-            core, refusals.refusal_response(error.refusal, headers, core.random)
-        )
+        return _refuse(core, call_id, error)
     except asyncio.CancelledError:
         log_event(
             Event.CALL_LEFT,
@@ -91,6 +79,22 @@
         _release(core, request)
 
 
+def _refuse(core: GatewayCore, call_id: str, error: RefusedError) -> web.StreamResponse:
+    """Returns the response to a call that is refused."""
+    contact_age_s = core.configuration_freshness.staleness_s(core.clock())
+    log_event(
+        Event.CALL_REFUSED,
+        call=call_id,
+        status=error.refusal.status,
+        reason=str(error),
+        contact_age_s=round(contact_age_s, 3),
+    )
+    core.metrics.requests.inc({"outcome": str(error.refusal.status)})
+    headers = dict(core.call_format.refusal_headers(call_id))
+    response = refusals.refusal_response(error.refusal, headers, core.random)
+    return _close_if_stopping(core, response)
+
+
 def _release(core: GatewayCore, request: web.BaseRequest) -> None:
     """Stops counting a call that has ended."""
     core.in_flight -= 1
@@ -286,10 +290,10 @@
     try:
         forwarded = await forward(core, request, call, progress)
     finally:
-        used_tokens = _used_tokens(call, progress)
+        used = used_tokens(call, progress)
         if reservation is not None:
-            core.budgets.settle(reservation, min(token_bound, used_tokens))
-    _record_end(core, call, progress, forwarded.result, used_tokens)
+            core.budgets.settle(reservation, min(token_bound, used))
+    record_end(core, call, progress, forwarded.result, used)
     return _close_if_stopping(core, forwarded.response)
 
 
@@ -321,56 +325,6 @@
     return "holder" if reservation.parts[0].number else "own"
 
 
-def _used_tokens(call: Call, progress: CallProgress) -> int:
-    """Returns the tokens that a call is charged for.
-
-    These are the tokens of its prompt if the call may have run, and an upper bound
-    of the tokens in the delivered events.
-    """
-    if progress.outcome.state in ("reserved", "refused"):
-        return 0
-    return call.head.tokens.prompt + call.event_tokens(progress.delivered_events)
-
-
-def _record_end(
-    core: GatewayCore,
-    call: Call,
-    progress: CallProgress,
-    result: CallResult,
-    used_tokens: int,
-) -> None:
-    now = core.clock()
-    labels = {"kind": call.kind.value}
-    first_response_at = progress.first_response_at
-    if first_response_at is not None:
-        core.metrics.first_answer_s.observe(labels, first_response_at - call.started_at)
-    core.metrics.duration_s.observe(labels, now - call.started_at)
-    core.metrics.requests.inc({"outcome": str(result.status)})
-    if progress.outcome.state == "answered":
-        core.durations.record(call.route.name, now - call.started_at)
-    log_event(
-        Event.CALL_ENDED,
-        call=call.head.call_id,
-        route=call.route.name,
-        status=result.status,
-        reason=result.reason,
-        placements=progress.placements,
-        events=progress.delivered_events,
-        framing=progress.framing,
-        attempt_events=progress.attempt_events,
-        through_vm=progress.through_vm,
-        tokens=used_tokens,
-        workspace=call.workspace.name if call.workspace else "",
-        pause_s=round(progress.longest_event_gap_s, 3),
-        holders=progress.holders,
-        grant_s=round(progress.granted_at - call.started_at, 3),
-        first_s=None
-        if first_response_at is None
-        else round(first_response_at - call.started_at, 3),
-        total_s=round(now - call.started_at, 3),
-    )
-
-
 def _close_if_stopping(
     core: GatewayCore, response: web.StreamResponse
 ) -> web.StreamResponse:
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -15,7 +15,6 @@
 from verbenagrade.state.retries import (
     Failure,
     did_not_run,
-    first_response_timeout_s,
     is_retry_allowed,
 )
 from verbenagrade.transport.gateway import refusals
@@ -31,7 +30,7 @@
     deliver_plain,
     deliver_stream,
 )
-from verbenagrade.transport.gateway.handover import may_be_handed_over
+from verbenagrade.transport.gateway.handover import first_response_patience_s
 from verbenagrade.transport.gateway.limits import (
     choose_or_wait,
     record_limit,
@@ -161,7 +160,7 @@
 
     Raises ``SendFailedError`` if there is no complete response.
     """
-    patience_s = _first_response_patience_s(core, call, progress, entry)
+    patience_s = first_response_patience_s(core, call, progress, entry)
     _begin_attempt(core, call, progress, entry)
     failed = True
     try:
@@ -246,19 +245,6 @@
     return await deliver_plain(core, call, writer, upstream, on_data)
 
 
-def _first_response_patience_s(
-    core: GatewayCore, call: Call, progress: CallProgress, entry: EndpointEntry
-) -> float:
-    """Returns the time after which another endpoint may take over, in seconds."""
-    remaining_s = max(0.0, call.deadline - core.clock())
-    if not may_be_handed_over(call, progress):
-        return remaining_s
-    expected_s = core.placement.expected_first_response_s(entry, call.shape)
-    return first_response_timeout_s(
-        call.route.target_latency_s, expected_s, remaining_s
-    )
-
-
 def _prepare_retry(
     core: GatewayCore,
     call: Call,
--- a/verbenagrade/transport/gateway/handover.py
+++ b/verbenagrade/transport/gateway/handover.py
@@ -10,14 +10,18 @@
 from verbenagrade.events import Event, log_event
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.placement import Placement
-from verbenagrade.state.retries import Failure, is_retry_allowed
+from verbenagrade.state.retries import (
+    Failure,
+    first_response_timeout_s,
+    is_retry_allowed,
+)
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.limits import choose_within_limits
 from verbenagrade.transport.gateway.reach import accepts_connection
 from verbenagrade.transport.gateway.stopping import may_begin
 
-__all__ = ["hand_over", "may_be_handed_over"]
+__all__ = ["first_response_patience_s", "hand_over", "may_be_handed_over"]
 
 
 def may_be_handed_over(call: Call, progress: CallProgress) -> bool:
@@ -31,6 +35,19 @@
     )
 
 
+def first_response_patience_s(
+    core: GatewayCore, call: Call, progress: CallProgress, entry: EndpointEntry
+) -> float:
+    """Returns the time after which another endpoint may take over, in seconds."""
+    remaining_s = max(0.0, call.deadline - core.clock())
+    if not may_be_handed_over(call, progress):
+        return remaining_s
+    expected_s = core.placement.expected_first_response_s(entry, call.shape)
+    return first_response_timeout_s(
+        call.route.target_latency_s, expected_s, remaining_s
+    )
+
+
 async def hand_over(
     core: GatewayCore,
     call: Call,
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -33,7 +33,11 @@
 from verbenagrade.state.documents import DocumentFormat
 from verbenagrade.state.placement import PlacementTable, VmLocation
 from verbenagrade.state.routes import CallerLimits
-from verbenagrade.transport.gateway.assembly import GatewayBudgets, make_versions
+from verbenagrade.transport.gateway.assembly import (
+    GatewayBudgets,
+    make_versions,
+    missing_endpoint_hold_s,
+)
 from verbenagrade.transport.gateway.background import keep_running
 from verbenagrade.transport.gateway.call_handler import handle_call
 from verbenagrade.transport.gateway.core import GatewayCore
@@ -65,8 +69,7 @@
 """Timeout for the return of grants during shutdown, in seconds."""
 
 LAST_ANSWERS_S = 0.2
-"""Time for the last answers, in seconds: calls whose endpoints have not responded when
-their connections are closed are answered as ones that may have run."""
+"""Time to answer the calls that are broken off at the end, in seconds."""
 
 IDLE_POLL_S = 0.05
 FLEET_LONG_POLL_S = 8.0
@@ -74,11 +77,6 @@
 value does not delay changes, which arrive within a second; only a lost connection
 is detected later."""
 
-MISSING_ENDPOINT_HOLD_FRACTION = 0.5
-"""Fraction of the drain time for which an endpoint whose entry is missing is kept."""
-
-MS_PER_S = 1000
-
 
 @dataclass(frozen=True, slots=True)
 class PlatformAdapter:
@@ -106,7 +104,7 @@
         store = adapter.store(self.store_session, settings, eras.observer())
         self.table = guard_eras(count_failures(store, self._count_failure), eras)
         fleet = GatewayFleet(self.table, settings.vm, incarnation, eras, self.clock)
-        directory = EndpointDirectory(_missing_endpoint_hold_s(settings))
+        directory = EndpointDirectory(missing_endpoint_hold_s(settings))
         keys = RelayKeys(self.table)
         self.budgets = GatewayBudgets(
             self.table, settings, incarnation, self.clock, eras, lambda: keys.keys
@@ -349,10 +347,5 @@
             await asyncio.sleep(IDLE_POLL_S)
 
 
-def _missing_endpoint_hold_s(settings: GatewaySettings) -> float:
-    """Returns how long an endpoint whose entry is missing is kept, in seconds."""
-    return MISSING_ENDPOINT_HOLD_FRACTION * settings.bounds.drain_ms / MS_PER_S
-
-
 def _no_action() -> None:
     """Does nothing after an outage: the rows of this table do not expire."""
