--- a/verbenagrade/state/call_durations.py
+++ b/verbenagrade/state/call_durations.py
@@ -54,8 +54,8 @@
 def latest_start(deadline: float, ends_at: float, expected_s: float | None) -> float:
     """Returns the last time at which a call may be sent, if the process ends then.
 
-    ``expected_s`` is how long the call is expected to last, ``None`` if that is not known: such a
-    call may last until its deadline. Times are in seconds.
+    ``expected_s`` is how long the call is expected to last, ``None`` if that is not
+    known: such a call may last until its deadline. Times are in seconds.
 
     >>> latest_start(deadline=12.0, ends_at=20.0, expected_s=3.0)
     12.0
