Record a stream as soon as it begins while rows may be missing

A stream that begins while rows may be missing wakes the task that records them, 10 ms later, so that streams that begin together still share a transaction. Without it test_stream_is_recorded_as_soon_as_it_begins_in_a_new_fleet waits for ever.

--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -57,7 +57,8 @@
 class StreamVersions:
     """The default versions, and the streams that this VM began.
 
-    ``allowance`` is the number of records that this VM may write now.
+    ``allowance`` is the number of records that this VM may write now. ``to_record`` is
+    set when a stream has begun that ``record_running`` has to record.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         self.view = view
         self.store_writes_per_s = store_writes_per_s
         self.begun = BegunStreams()
+        self.to_record = asyncio.Event()
         self.defaults = DefaultVersions(table, clock, time, view, rng)
         self.allowance = MIN_BURST_RECORDS
         self.allowance_at = clock()
@@ -130,12 +132,22 @@
         self.allowance -= 1.0
         return await self.records.record(call_id, number, version)
 
+    def begin(self, call_id: str, stream: BegunStream) -> None:
+        """Remembers a stream whose first event is delivered now."""
+        self.begun.record(call_id, stream)
+        loss = self.era_start.loss()
+        if loss.at is not None and loss.may_concern(
+            self.clock(), self.view.stream_life_s()
+        ):
+            self.to_record.set()
+
     async def record_running(self) -> int:
         """Records the streams of this VM whose records the store may have lost.
 
         Those for which the store takes no more records now are left for the next time.
         Returns the number of streams that were recorded.
         """
+        self.to_record.clear()
         now, loss = self.clock(), self.era_start.loss()
         stream_life_s = self.view.stream_life_s()
         if not loss.may_concern(now, stream_life_s):
--- a/verbenagrade/platform/tests/test_software_versions.py
+++ b/verbenagrade/platform/tests/test_software_versions.py
@@ -14,10 +14,12 @@
     versions_in,
 )
 from verbenagrade.transport.gateway import core as gateway_core
+from verbenagrade.transport.gateway import upkeep
 
 STREAMS = 12
 LONG_AGO_S = -1e6
 SHORT_LIFE_S = 0.5
+NEVER_S = 1e6
 
 
 async def start(testbed, *versions, default=None) -> None:
@@ -199,3 +201,18 @@
     await testbed.end(lost)
     await testbed.start_another()
     await check_resumptions(testbed, begun, testbed.others[0])
+
+
+# Guards against a stream that breaks off before its VM looks at all its streams again,
+# and that can't be taken up in the first seconds of a fleet.
+async def test_stream_is_recorded_as_soon_as_it_begins_in_a_new_fleet(
+    testbed, monkeypatch
+):
+    monkeypatch.setattr(upkeep, "RECORD_INTERVAL_S", NEVER_S)
+    testbed.store.era = 1
+    await start(testbed, "v1", "v1", default="v1")
+    await testbed.start_another()
+    begun = await begin_streams(testbed, testbed.others[0])
+    unrecorded = testbed.others[0].core.versions.begun.unrecorded
+    await testbed.wait_until(lambda: not unrecorded(testbed.store.era, 0.0))
+    await check_resumptions(testbed, begun, testbed.gateway)
--- a/verbenagrade/transport/gateway/upkeep.py
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -1,6 +1,7 @@
 """The periodic work of a gateway; each function runs until it is cancelled."""
 
 import asyncio
+from contextlib import suppress
 
 from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
 from verbenagrade.coordination.spending_reports import report_interval_s
@@ -24,6 +25,9 @@
 RESTORATION_INTERVAL_S = 0.25
 RESEND_INTERVAL_S = 0.5
 RECORD_INTERVAL_S = 0.25
+RECORD_DELAY_S = 0.01
+"""Longest time between two looks at the running streams, and time between the beginning
+of a stream and its record, in seconds."""
 PREFETCH_DELAY_S = 3.0
 """Time after the start before which no grants are obtained without demand, in seconds.
 By then the other VMs of a fleet that starts have announced themselves, and this VM
@@ -73,9 +77,15 @@
 
 
 async def record_streams(core: GatewayCore) -> None:
-    """Records running streams while the store may have lost records."""
+    """Records running streams while the store may have lost records.
+
+    Those that begin soon after each other share transactions.
+    """
     while True:
-        await asyncio.sleep(RECORD_INTERVAL_S * core.random.uniform(0.8, 1.2))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(RECORD_INTERVAL_S):
+                await core.versions.to_record.wait()
+        await asyncio.sleep(RECORD_DELAY_S)
         core.metrics.stream_records.add({}, await core.versions.record_running())
 
 
--- a/verbenagrade/transport/gateway/versions.py
+++ b/verbenagrade/transport/gateway/versions.py
@@ -117,7 +117,7 @@
         at=core.clock(),
         recorded_in=_era_of_record(progress),
     )
-    core.versions.begun.record(call.head.call_id, begun)
+    core.versions.begin(call.head.call_id, begun)
 
 
 def end_stream(core: GatewayCore, call: Call) -> None:
