--- a/soak/environment.py
+++ b/soak/environment.py
@@ -11,6 +11,8 @@
 import tempfile
 from pathlib import Path
 
+import aiohttp
+
 from soak.checks import InvariantChecker
 from soak.clients import API_KEY, TOKENS_PER_EVENT
 from soak.endpoints import BEHAVIOUR_WEIGHTS, random_behaviour
@@ -26,7 +28,8 @@
 SMALL_BUDGET_TOKENS, LARGE_BUDGET_TOKENS = 15_000, 10_000_000
 """Prepaid tokens of odd and even seeds, so that some runs use up their budget."""
 
-STARTUP_S = 2.0
+STARTUP_S = 20.0
+POLL_S = 0.05
 SOFTWARE_VERSIONS = ("v1", "v2")
 CALLER_PORT, READY_PORT, METRICS_PORT, RELAY_PORT = 18100, 18101, 18102, 18103
 RESERVATION_PORT = 18104
@@ -69,7 +72,10 @@
         )
 
     async def start(self) -> None:
-        """Starts all components and gives the gateways ``STARTUP_S`` to start."""
+        """Starts all components and waits until the gateways are ready.
+
+        Raises ``TimeoutError`` if that takes longer than ``STARTUP_S``.
+        """
         await self.store.start()
         self.write_configuration()
         for number in range(ENDPOINTS):
@@ -83,7 +89,10 @@
             self.addresses.append(f"{host}:{CALLER_PORT}")
             self._write_settings(number, host)
             self.start_gateway(number)
-        await asyncio.sleep(STARTUP_S)
+        async with asyncio.timeout(STARTUP_S), aiohttp.ClientSession() as session:
+            for number in range(GATEWAYS):
+                url = f"http://{self.network_prefix}.{number + 1}:{READY_PORT}/"
+                await _wait_until_ready(session, url)
 
     def write_configuration(self) -> None:
         """Writes a new version of the configuration."""
@@ -220,3 +229,14 @@
             "memory_mb": 150,
         }
         self._settings_path(number).write_text(json.dumps(settings))
+
+
+async def _wait_until_ready(session: aiohttp.ClientSession, url: str) -> None:
+    """Waits until the readiness check at a URL succeeds."""
+    for _ in range(int(STARTUP_S / POLL_S)):
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            async with session.get(url) as response:
+                if response.status == 200:
+                    return
+        await asyncio.sleep(POLL_S)
+    raise TimeoutError(f"{url} is not ready")
