--- /dev/null
+++ b/verbenagrade/tests/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of clients that send or hold more than a process may keep for them."""
