Serve a head of just the limit in many fields

Callers got 400 "Too many headers received", or 431, for a head whose size was inside the limit of the configuration. The library's parser accepts 128 fields by default, and the size of a head counted a space after each colon, also where there was none. The parser now accepts as many fields as fit into its longest line, and a field counts with the least that it takes on the wire.

--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -44,9 +44,9 @@
 budget raised."""
 
 REQUEST_LINE_BYTES = len("  HTTP/1.1\r\n")
-HEADER_LINE_BYTES = len(": \r\n")
+HEADER_LINE_BYTES = len(":\r\n")
 """Bytes of a request line beyond its method and path, and of a header beyond its name
-and value."""
+and value at least: a space after the colon may be missing."""
 
 
 async def handle_call(
--- a/verbenagrade/transport/gateway/listeners.py
+++ b/verbenagrade/transport/gateway/listeners.py
@@ -17,11 +17,15 @@
 """Longest request line or header that the parser accepts; configurations set lower
 limits."""
 
+MAX_FIELDS = MAX_HEADER_LINE_BYTES // len("a:\r\n")
+"""Most fields of a head that the parser accepts, if each is as small as possible."""
+
 CONNECTION_OPTIONS: Mapping[str, Any] = {
     "access_log": None,
     "auto_decompress": False,
     "max_line_size": MAX_HEADER_LINE_BYTES,
     "max_field_size": MAX_HEADER_LINE_BYTES,
+    "max_headers": MAX_FIELDS,
 }
 
 
