Limit what the clients of a gateway hold before it is allocated

Callers got no response, and the process ended, when some clients sent bodies in tiny chunks, bodies that stopped short, many requests ahead, or heads, trailers and empty lines without end, or just kept connections open.

Cause: nothing counted what connections held beyond bodies that a handler had read. The library's parser reads 32 requests ahead with up to 0.5 MB of body each, takes 256 KiB at once from each connection, keeps a chunk of one byte with some hundred bytes of bookkeeping, parses a piece however long that takes, and calls the parser again for each chunk that is read. A body that stopped had no timeout.

state/client_account.py counts each connection with what it needs at least and what it holds beyond, for each group of listeners; limits are asked for before bytes are parsed. Where they are reached, connections whose client is to send or to take something give way, those that hold much without progress first: a request that arrives is refused with 503, a connection without one is closed. What is being served stays. transport/client_connections.py reads into one shared buffer, gives the parser one piece of 16 KiB at a time and no second request while one is served. state/input_turns.py shares the time of a turn of the event loop among connections, the one with the least work first. A body that does not arrive by the deadline of its call, or does not go on for the idle timeout, is refused with 408. One that can't be read gets 400. The connections for reservations are counted too.

--- a/verbenagrade/metrics/process.py
+++ b/verbenagrade/metrics/process.py
@@ -18,6 +18,18 @@
         self.requests = self.counter("requests", "Requests by outcome.")
         self.cpu_time = self.gauge("processor_s", "CPU time used, in seconds.")
         self.memory = self.gauge("memory_bytes", "Resident memory, in bytes.")
+        self.client_connections = self.gauge(
+            "client_connections", "Open connections of clients, by listener."
+        )
+        self.client_memory = self.gauge(
+            "client_memory_bytes",
+            "Memory that clients hold, as it is counted, in bytes, by listener.",
+        )
+        self.clients_given_up = self.counter(
+            "clients_given_up",
+            "Connections closed and requests refused to keep within the limits, by"
+            " listener and reason.",
+        )
 
     def counter(self, name: str, description: str) -> Counter:
         """Registers a counter and returns it."""
--- a/verbenagrade/platform/tests/test_caller_limits.py
+++ b/verbenagrade/platform/tests/test_caller_limits.py
@@ -9,9 +9,15 @@
 
 from verbenagrade.platform.tests.conftest import API_KEY, configuration_document
 from verbenagrade.platform.tests.endpoint_standin import plain, stream
+from verbenagrade.state.client_limits import (
+    Listener,
+    ProcessLimits,
+    limits_of_listeners,
+)
 from verbenagrade.state.routes import CallerLimits
+from verbenagrade.transport.client_connections import ClientServer, ListenerOptions
+from verbenagrade.transport.client_input import Clients
 from verbenagrade.transport.gateway import listeners
-from verbenagrade.transport.gateway.caller_connections import CallerServer
 
 HEADER_TIMEOUT_S = 0.4
 IDLE_TIMEOUT_S = 1.0
@@ -203,7 +209,10 @@
 # Guards against a response that is cut because its caller reads it slowly.
 async def test_connection_is_not_closed_before_its_response_is_written():
     closed = []
-    server = CallerServer(lambda _request: None, CallerLimits)
+    limits = limits_of_listeners(ProcessLimits(70_000_000, 4_000))
+    clients = Clients(limits, time.monotonic)
+    options = ListenerOptions(Listener.CALLERS, CallerLimits)
+    server = ClientServer(lambda _request: None, options, clients)
     connection = server()
     connection.force_close = lambda: closed.append(True)
     connection.transport = SimpleNamespace(get_write_buffer_size=lambda: 10)
--- a/verbenagrade/platform/tests/test_large_bodies.py
+++ b/verbenagrade/platform/tests/test_large_bodies.py
@@ -67,7 +67,7 @@
     assert set(statuses) <= {200, 503}
     assert 0 < sent == statuses.count(200)
     assert peak_bytes <= MAX_MEMORY_BYTES
-    assert flooded.core.body_bytes.total == 0
+    await flooded.wait_until(lambda: flooded.core.clients.account.held_bytes == 0)
 
 
 async def test_body_larger_than_the_limit_is_refused_from_its_announced_size(flooded):
--- a/verbenagrade/settings/gateway.py
+++ b/verbenagrade/settings/gateway.py
@@ -152,6 +152,14 @@
     memory_mb: Annotated[
         Count, Meta(description="Memory available to the process, in MB.")
     ]
+    max_descriptors: Annotated[
+        int,
+        Meta(
+            ge=0,
+            description="Descriptors available to the process; 0 for as many as the"
+            " operating system allows. A larger number than that has no effect.",
+        ),
+    ] = 0
     tuning: TuningSettings = field(default_factory=TuningSettings)
     log_level: Annotated[
         LogLevel, Meta(description="Minimum level of logged events.")
--- a/verbenagrade/transport/gateway/admission.py
+++ b/verbenagrade/transport/gateway/admission.py
@@ -1,22 +1,15 @@
-"""Limits the memory that requests take, and refuses those that need more."""
+"""Refuses calls for which there is no room, and reads the bodies of the others."""
+
+import asyncio
 
 from aiohttp import web
 
+from verbenagrade.exceptions import OverloadedError
 from verbenagrade.transport.gateway import refusals
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.memory import max_calls
 
-__all__ = ["RefusedError", "check_load", "read_body", "release_body"]
-
-IDLE_PROCESS_MEMORY_MB = 80
-MEMORY_PER_CALL_MB = 0.2
-"""Memory of the process without calls, and of each call in flight with its buffers,
-in MB. They limit the number of calls in flight."""
-
-BODY_MEMORY_FRACTION = 0.3
-"""Fraction of the memory beyond that of the idle process that the bodies of all calls
-may take. While a body is sent to an endpoint it is there twice."""
-
-BYTES_PER_MB = 1_000_000
+__all__ = ["RefusedError", "check_load", "read_body"]
 
 
 class RefusedError(Exception):
@@ -27,33 +20,56 @@
         self.refusal = refusal
 
 
-def check_load(core: GatewayCore) -> None:
-    """Refuses a call if the calls in flight need all memory."""
-    memory_mb = core.settings.memory_mb - IDLE_PROCESS_MEMORY_MB
-    if core.in_flight > max(1.0, memory_mb / MEMORY_PER_CALL_MB):
+def check_load(core: GatewayCore, request: web.BaseRequest) -> None:
+    """Refuses a call for which there is no room.
+
+    If too many calls are in flight, one whose caller sends no more of its body, or
+    takes nothing of its response, gives way.
+    """
+    connection = request.protocol
+    if connection.is_refused:
+        raise RefusedError(refusals.OVERLOADED, "clients hold all memory for them")
+    if core.in_flight <= max_calls(core.settings):
+        return
+    account, listener = core.clients.account, connection.record.listener
+    if not account.make_way_for_call(listener, core.clock()):
         raise RefusedError(refusals.OVERLOADED)
 
 
-async def read_body(core: GatewayCore, request: web.BaseRequest, limit: int) -> bytes:
-    """Reads the body of a call, while the bodies of all calls have room in memory.
+async def read_body(
+    core: GatewayCore, request: web.BaseRequest, limit: int, deadline: float
+) -> bytes:
+    """Reads the body of a call, at most until a time in seconds.
 
-    The body counts until ``release_body`` is called.
+    A body that does not go on for the idle timeout of callers is not awaited longer.
     """
     if (request.content_length or 0) > limit:
         raise RefusedError(refusals.BODY_TOO_LARGE)
-    memory_mb = core.settings.memory_mb - IDLE_PROCESS_MEMORY_MB
-    max_bytes = max(limit, int(memory_mb * BODY_MEMORY_FRACTION * BYTES_PER_MB))
+    if request.content.at_eof():
+        return b""
     body = bytearray()
-    async for chunk in request.content.iter_any():
-        body += chunk
-        core.body_bytes.add(id(request), len(chunk))
-        if len(body) > limit:
-            raise RefusedError(refusals.BODY_TOO_LARGE)
-        if core.body_bytes.total > max_bytes:
-            raise RefusedError(refusals.OVERLOADED, "bodies of calls need all memory")
+    try:
+        while data := await _read_some(core, request, deadline):
+            body += data
+            if len(body) > limit:
+                raise RefusedError(refusals.BODY_TOO_LARGE)
+    except OverloadedError as error:
+        raise RefusedError(refusals.OVERLOADED, str(error)) from error
+    except web.RequestPayloadError as error:
+        raise RefusedError(refusals.INVALID_BODY, str(error)) from error
     return bytes(body)
 
 
-def release_body(core: GatewayCore, request: web.BaseRequest) -> None:
-    """Stops counting the body of a request that was served."""
-    core.body_bytes.release(id(request))
+async def _read_some(
+    core: GatewayCore, request: web.BaseRequest, deadline: float
+) -> bytes:
+    """Returns the next bytes of a body, empty at its end."""
+    idle_s = request.protocol.limits().idle_timeout_s
+    try:
+        async with asyncio.timeout(min(idle_s, deadline - core.clock())) as timeout:
+            return await request.content.readany()
+    except TimeoutError as error:
+        if not timeout.expired():
+            raise
+        request.protocol.stop_receiving()
+        raise RefusedError(refusals.BODY_TIMEOUT) from error
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -16,6 +16,7 @@
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.holders import HolderRanking, HolderVm
 from verbenagrade.state.relay_peers import RelayPeer
+from verbenagrade.transport.client_input import Clients
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.holder_connection import SpenderIdentity
 from verbenagrade.transport.gateway.holder_links import HolderLinkTable
@@ -44,6 +45,7 @@
         clock: Clock,
         eras: StoreEras,
         keys: Callable[[], list[bytes]],
+        clients: Clients,
     ) -> None:
         own = HolderVm(settings.vm, "", settings.data_centre)
         manager = _make_allowance_manager(table, settings, incarnation, clock, eras)
@@ -54,7 +56,7 @@
         links = HolderLinks(self.links.reserve, self.links.free, self.links.settle)
         self.fleet = FleetBudgets(manager, self.ranking, links, clock)
         self.holder = BudgetHolder(manager)
-        self.server = HolderServer(self.holder, incarnation, keys)
+        self.server = HolderServer(self.holder, incarnation, keys, clients)
 
     def update_vms(self, peers: Iterable[RelayPeer], vm_count: int) -> None:
         """Applies a change of the VMs in the fleet."""
--- a/verbenagrade/transport/gateway/call_handler.py
+++ b/verbenagrade/transport/gateway/call_handler.py
@@ -22,7 +22,6 @@
     RefusedError,
     check_load,
     read_body,
-    release_body,
 )
 from verbenagrade.transport.gateway.call_results import record_end, used_tokens
 from verbenagrade.transport.gateway.calls import Call, CallProgress
@@ -76,7 +75,7 @@
         log_event(Event.CALL_FAILED, call=call_id, reason=repr(error))
         raise
     finally:
-        _release(core, request)
+        core.in_flight -= 1
 
 
 def _refuse(core: GatewayCore, call_id: str, error: RefusedError) -> web.StreamResponse:
@@ -95,12 +94,6 @@
     return _close_if_stopping(core, response)
 
 
-def _release(core: GatewayCore, request: web.BaseRequest) -> None:
-    """Stops counting a call that has ended."""
-    core.in_flight -= 1
-    release_body(core, request)
-
-
 def _read_head(core: GatewayCore, request: web.BaseRequest) -> CallHead:
     try:
         return core.call_format.read_head(request.headers, request.raw_path)
@@ -130,8 +123,10 @@
     route = _find_route(core, index, head)
     _find_workspace(core, index, route, head)
     _limit_wait(core, route, head, started_at, limit)
-    check_load(core)
-    body = await read_body(core, request, index.configuration.limits.body_bytes)
+    check_load(core, request)
+    max_bytes = index.configuration.limits.body_bytes
+    deadline = _deadline(route, head, started_at)
+    body = await read_body(core, request, max_bytes, deadline)
     call = _build_call(core, request, head, body, started_at)
     cause = find_cause(core, call)
     if cause and not await is_on_trial(core, call, cause):
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -26,9 +26,10 @@
 from verbenagrade.state.placement import PlacementTable
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
+from verbenagrade.transport.client_input import Clients
 from verbenagrade.transport.gateway.send_limits import SendLimit
 
-__all__ = ["BodyBytes", "BrokenCall", "CrashCheck", "GatewayCore", "Reach"]
+__all__ = ["BrokenCall", "CrashCheck", "GatewayCore", "Reach"]
 
 
 FLEET_PATIENCE_S = 2.0
@@ -43,26 +44,6 @@
 timeout of a route, and its minimum in seconds."""
 
 
-class BodyBytes:
-    """The bytes of the bodies of all calls in flight; ``total`` is their sum.
-
-    Calls are numbered by their callers; a number may be used again after ``release``.
-    """
-
-    def __init__(self) -> None:
-        self.by_call: dict[int, int] = {}
-        self.total = 0
-
-    def add(self, call: int, count: int) -> None:
-        """Adds bytes of the body of a call."""
-        self.by_call[call] = self.by_call.get(call, 0) + count
-        self.total += count
-
-    def release(self, call: int) -> None:
-        """Forgets the body of a call that has ended."""
-        self.total -= self.by_call.pop(call, 0)
-
-
 @dataclass(frozen=True, slots=True)
 class BrokenCall:
     """A call that an endpoint broke off ``at`` a time in seconds.
@@ -143,6 +124,7 @@
         versions: StreamVersions,
         relay_keys: RelayKeys,
         budgets: FleetBudgets,
+        clients: Clients,
     ) -> None:
         self.settings = settings
         self.call_format = call_format
@@ -171,7 +153,7 @@
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.metrics = GatewayMetrics()
         self.in_flight = 0
-        self.body_bytes = BodyBytes()
+        self.clients = clients
         self.started_at = clock()
         self.stopping = False
         self.ends_at: float | None = None
--- a/verbenagrade/transport/gateway/holder_server.py
+++ b/verbenagrade/transport/gateway/holder_server.py
@@ -23,6 +23,7 @@
     prove_side,
     verify_side,
 )
+from verbenagrade.state.client_limits import Listener
 from verbenagrade.state.decoding import decode_msgpack, make_decoder
 from verbenagrade.state.reservation_orders import (
     FreeTokens,
@@ -30,6 +31,9 @@
     ReserveResult,
     ReserveStatus,
 )
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.client_listeners import open_listener
+from verbenagrade.transport.client_streams import StreamClient, count_stream
 from verbenagrade.transport.frames import read_frame, write_frame
 from verbenagrade.transport.gateway.holder_connection import (
     MAX_RESERVATION_FRAME_BYTES,
@@ -40,6 +44,12 @@
 HANDSHAKE_S = 2.0
 """Time for a spender to prove that it is of the fleet, in seconds."""
 
+MAX_HELLO_BYTES = 4_096
+"""Longest first frame of a connection, in bytes."""
+
+READ_LIMIT_BYTES = 16_384
+"""What a connection reads ahead, in bytes."""
+
 MAX_UNSENT_BYTES = 1_000_000
 """Results that a spender does not read, in bytes, above which its connection ends."""
 
@@ -62,7 +72,9 @@
         holder: BudgetHolder,
         incarnation: str,
         keys: Callable[[], list[bytes]],
+        clients: Clients,
     ) -> None:
+        self.clients = clients
         self.holder = holder
         self.incarnation = incarnation
         self.keys = keys
@@ -77,7 +89,10 @@
         """
         for port in range(first_port, last_port + 1):
             try:
-                self.server = await asyncio.start_server(self._serve, ip, port)
+                listener = open_listener(ip, port)
+                self.server = await asyncio.start_server(
+                    self._serve, sock=listener, limit=READ_LIMIT_BYTES
+                )
             except OSError:
                 if port == last_port:
                     raise
@@ -94,6 +109,16 @@
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with count_stream(self.clients, Listener.FLEET, writer) as client:
+            if client is not None:
+                await self._serve_client(reader, writer, client)
+
+    async def _serve_client(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        client: StreamClient,
     ) -> None:
         task = asyncio.current_task()
         self.tasks.add(task)
@@ -105,6 +130,7 @@
             if accepted is None:
                 return
             spender, key = accepted
+            client.trust()
             # Orders of an earlier connection that were not read yet count as lost.
             earlier = self.connections.get(spender)
             if earlier is not None:
@@ -128,7 +154,7 @@
         """Returns the spender and the key of the connection, if it is of the fleet."""
         challenge = Challenge(secrets.token_bytes(NONCE_BYTES), self.incarnation)
         write_frame(writer, _encoder.encode(challenge))
-        frame = await read_frame(reader, MAX_RESERVATION_FRAME_BYTES)
+        frame = await read_frame(reader, MAX_HELLO_BYTES)
         if frame is None:
             return None
         hello = decode_msgpack(frame, Hello)
--- a/verbenagrade/transport/gateway/listeners.py
+++ b/verbenagrade/transport/gateway/listeners.py
@@ -1,56 +1,70 @@
 """Starts the HTTP servers of a gateway."""
 
-from collections.abc import Callable, Mapping
-from typing import Any
+from collections.abc import Callable
 
 from aiohttp import web
 
+from verbenagrade.state.client_limits import Listener
 from verbenagrade.state.routes import CallerLimits
-from verbenagrade.transport.gateway.caller_connections import CallerServer, Handler
+from verbenagrade.transport.client_connections import (
+    MAX_LINE_BYTES,
+    ClientServer,
+    Handler,
+    ListenerOptions,
+)
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.client_listeners import start_server
 
-__all__ = ["listen", "listen_for_callers"]
+__all__ = ["listen_for_callers", "listen_for_health_checks", "listen_for_vms"]
 
 KEEPALIVE_TIMEOUT_S = 75.0
 """How long connections that are not of callers may be idle, in seconds."""
 
-MAX_HEADER_LINE_BYTES = 65_536
-"""Longest request line or header that the parser accepts; configurations set lower
-limits."""
-
-MAX_FIELDS = MAX_HEADER_LINE_BYTES // len("a:\r\n")
-"""Most fields of a head that the parser accepts, if each is as small as possible."""
-
-CONNECTION_OPTIONS: Mapping[str, Any] = {
-    "access_log": None,
-    "auto_decompress": False,
-    "max_line_size": MAX_HEADER_LINE_BYTES,
-    "max_field_size": MAX_HEADER_LINE_BYTES,
-    "max_headers": MAX_FIELDS,
-}
+HEADER_TIMEOUT_S = 10.0
+"""Time for the head of a request that is not of a caller, in seconds."""
 
 
 async def listen_for_callers(
-    address: str, handler: Handler, limits: Callable[[], CallerLimits]
+    address: str,
+    handler: Handler,
+    limits: Callable[[], CallerLimits],
+    clients: Clients,
 ) -> web.ServerRunner:
     """Serves callers at an address, with connections that keep ``limits``."""
-    return await _serve(address, CallerServer(handler, limits, **CONNECTION_OPTIONS))
+    return await _serve(
+        address, handler, ListenerOptions(Listener.CALLERS, limits), clients
+    )
 
 
-async def listen(address: str, handler: Handler) -> web.ServerRunner:
-    """Serves other VMs, or what watches this one, at an address."""
-    server = web.Server(
-        handler,
-        handler_cancellation=True,
-        keepalive_timeout=KEEPALIVE_TIMEOUT_S,
-        **CONNECTION_OPTIONS,
+async def listen_for_vms(
+    address: str, handler: Handler, clients: Clients
+) -> web.ServerRunner:
+    """Serves other VMs at an address."""
+    limits = CallerLimits(
+        header_bytes=MAX_LINE_BYTES,
+        header_timeout_s=HEADER_TIMEOUT_S,
+        idle_timeout_s=KEEPALIVE_TIMEOUT_S,
     )
-    return await _serve(address, server)
+    options = ListenerOptions(Listener.FLEET, lambda: limits)
+    return await _serve(address, handler, options, clients)
 
 
-async def _serve(address: str, server: web.Server) -> web.ServerRunner:
-    runner = web.ServerRunner(server)
+async def listen_for_health_checks(
+    address: str, handler: Handler, clients: Clients
+) -> web.ServerRunner:
+    """Serves what watches this VM at an address; bodies are not read."""
+    limits = CallerLimits(
+        header_timeout_s=HEADER_TIMEOUT_S, idle_timeout_s=KEEPALIVE_TIMEOUT_S
+    )
+    options = ListenerOptions(Listener.HEALTH, lambda: limits, linger_s=0.0)
+    return await _serve(address, handler, options, clients)
+
+
+async def _serve(
+    address: str, handler: Handler, options: ListenerOptions, clients: Clients
+) -> web.ServerRunner:
+    runner = web.ServerRunner(ClientServer(handler, options, clients))
     await runner.setup()
-    host, _, port = address.rpartition(":")
-    site = web.TCPSite(runner, host, int(port), backlog=1024)
-    await site.start()
+    ip, _, port = address.rpartition(":")
+    await start_server(runner, ip, int(port))
     return runner
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -33,6 +33,8 @@
 from verbenagrade.state.documents import DocumentFormat
 from verbenagrade.state.placement import PlacementTable, VmLocation
 from verbenagrade.state.routes import CallerLimits
+from verbenagrade.transport.client_connections import MAX_LINE_BYTES
+from verbenagrade.transport.client_input import Clients
 from verbenagrade.transport.gateway.assembly import (
     GatewayBudgets,
     make_versions,
@@ -41,7 +43,12 @@
 from verbenagrade.transport.gateway.background import keep_running
 from verbenagrade.transport.gateway.call_handler import handle_call
 from verbenagrade.transport.gateway.core import GatewayCore
-from verbenagrade.transport.gateway.listeners import listen, listen_for_callers
+from verbenagrade.transport.gateway.listeners import (
+    listen_for_callers,
+    listen_for_health_checks,
+    listen_for_vms,
+)
+from verbenagrade.transport.gateway.memory import client_limits
 from verbenagrade.transport.gateway.reach import watch_reach
 from verbenagrade.transport.gateway.relay_server import handle_relayed_call
 from verbenagrade.transport.gateway.store_connections import store_session
@@ -106,8 +113,15 @@
         fleet = GatewayFleet(self.table, settings.vm, incarnation, eras, self.clock)
         directory = EndpointDirectory(missing_endpoint_hold_s(settings))
         keys = RelayKeys(self.table)
+        clients = Clients(client_limits(settings), self.clock)
         self.budgets = GatewayBudgets(
-            self.table, settings, incarnation, self.clock, eras, lambda: keys.keys
+            self.table,
+            settings,
+            incarnation,
+            self.clock,
+            eras,
+            lambda: keys.keys,
+            clients,
         )
         location = VmLocation(settings.data_centre, settings.regions)
         rng = random.Random(seed)
@@ -128,6 +142,7 @@
             ),
             relay_keys=keys,
             budgets=self.budgets.fleet,
+            clients=clients,
         )
         self.runners: list[web.ServerRunner] = []
         self.tasks: list[asyncio.Task[None]] = []
@@ -136,12 +151,18 @@
         """Serves until ``stop`` is set, then shuts down within the grace period."""
         settings = self.core.settings
         metrics = f"{settings.listen.metrics_ip}:{settings.listen.metrics_port}"
+        clients = self.core.clients
         self.runners += (
             await listen_for_callers(
-                settings.listen.callers, self._handle_call, self._caller_limits
+                settings.listen.callers,
+                self._handle_call,
+                self._caller_limits,
+                clients,
+            ),
+            await listen_for_health_checks(
+                settings.listen.ready, self._handle_ready, clients
             ),
-            await listen(settings.listen.ready, self._handle_ready),
-            await listen(metrics, self._handle_metrics),
+            await listen_for_health_checks(metrics, self._handle_metrics, clients),
         )
         await self._listen_for_vms()
         self._start_tasks()
@@ -154,7 +175,9 @@
         settings = self.core.settings
         own = settings.listen
         address = f"{own.relay_ip}:{own.relay_port}"
-        runner = await listen(address, self._handle_relayed_call)
+        runner = await listen_for_vms(
+            address, self._handle_relayed_call, self.core.clients
+        )
         self.runners.append(runner)
         _, port, *_ = runner.addresses[0]
         ports = own.reservation_ports
@@ -174,8 +197,11 @@
         log_event(Event.SETTINGS_RELOADED, vm=settings.vm)
 
     def _caller_limits(self) -> CallerLimits:
+        """Returns the limits in force; without a configuration, the widest ones."""
         index = self.core.route_index
-        return index.configuration.limits if index is not None else CallerLimits()
+        if index is None:
+            return CallerLimits(header_bytes=MAX_LINE_BYTES)
+        return index.configuration.limits
 
     async def _handle_call(self, request: web.BaseRequest) -> web.StreamResponse:
         return await handle_call(self.core, request)
@@ -191,6 +217,7 @@
     async def _handle_metrics(self, request: web.BaseRequest) -> web.StreamResponse:
         core = self.core
         core.metrics.in_flight.set({}, core.in_flight)
+        core.clients.record(core.metrics)
         core.metrics.endpoints.set({}, len(core.directory.entries))
         core.metrics.limited_endpoints.set({}, len(core.limits.known.limited()))
         core.metrics.cut_off.set({}, int(core.reach.cut_off))
--- a/verbenagrade/transport/gateway/refusals.py
+++ b/verbenagrade/transport/gateway/refusals.py
@@ -1,6 +1,6 @@
 """Error responses that the gateway generates itself.
 
-A status of 429 or 503 guarantees that the call has not run and never will.
+A status of 408, 429 or 503 guarantees that the call has not run and never will.
 It is therefore returned only before the call is sent to an endpoint, or after
 every endpoint that received the call reported that it did not run.
 """
@@ -11,12 +11,14 @@
 from aiohttp import web
 
 __all__ = [
+    "BODY_TIMEOUT",
     "BODY_TOO_LARGE",
     "BUDGET_EXHAUSTED",
     "BUDGET_UNAVAILABLE",
     "ENDPOINTS_LIMITED",
     "ENDPOINT_FAILED",
     "HEAD_TOO_LARGE",
+    "INVALID_BODY",
     "INVALID_HEADER",
     "NO_CONFIGURATION",
     "NO_ENDPOINT",
@@ -55,9 +57,11 @@
 as an endpoint restart."""
 
 INVALID_HEADER = Refusal(400, "a header can't be read; send digits, or UTF-8")
+INVALID_BODY = Refusal(400, "the body can't be read; correct its chunks")
 UNKNOWN_KEY = Refusal(401, "the key is not known; use a key of a workspace")
 BUDGET_EXHAUSTED = Refusal(402, "the prepaid budget doesn't cover the call; top up")
 UNKNOWN_ROUTE = Refusal(404, "no route has this host and path")
+BODY_TIMEOUT = Refusal(408, "the body did not arrive in time; send it again")
 BODY_TOO_LARGE = Refusal(413, "the body is too large; send less")
 POISON_CALL = Refusal(422, "the call crashed several endpoints; change it")
 HEAD_TOO_LARGE = Refusal(431, "the headers are too large; send less")
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -32,7 +32,6 @@
     RefusedError,
     check_load,
     read_body,
-    release_body,
 )
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import record_break
@@ -95,7 +94,6 @@
             return _result_response(relayed, error.result)
     finally:
         core.in_flight -= 1
-        release_body(core, request)
 
 
 def _read_order(core: GatewayCore, request: web.BaseRequest) -> RelayedCall | None:
@@ -126,10 +124,10 @@
     """Returns the body of a call; raises ``NotPassedOnError`` if it may not be sent."""
     limit = core.route_index.configuration.limits.body_bytes if core.route_index else 0
     try:
-        check_load(core)
+        check_load(core, request)
         async with until_sent(core) as wait:
             wait.latest_start = lambda _ends_at: float("-inf")
-            body = await read_body(core, request, limit)
+            body = await read_body(core, request, limit, relayed.deadline)
     except RefusedError as error:
         result = RelayResult.CUT_OFF if core.stopping else RelayResult.REJECTED
         raise NotPassedOnError(result, str(error)) from error
