Keep little of a response that its caller does not take

Clients that read no response of 4 MB made a gateway take 147 MB with 150 of them, and 615 MB with ten requests sent ahead each; callers got no response.

Cause: up to 1 MiB of a response is kept so that the call can be sent again, copied for the write, and copied again by the transport, without a count; the library and the kernel kept up to 0.5 MB and several MB more of what the endpoint sent. A body that is sent was copied by the transport too.

A response is kept whole only while half of the memory for clients is free, and written in parts of 32 KiB as fast as the caller takes them; buffers towards endpoints are limited.

--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -27,11 +27,18 @@
 are passed on, so that the call can still be retried if the response breaks off."""
 
 
+RESPONSE_COPIES = 2
+"""Copies of a response that is kept: what was read, and what is written."""
+
 MAX_EVENT_BYTES = 1_048_576
 """Largest size of one event of a stream. Only complete events are passed on, so that
 this is what a stream keeps in memory."""
 
 
+SLICE_BYTES = 32_768
+"""Size of the parts in which a response is written, in bytes. The next one is written
+once the caller has taken most of the last."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER``: linger for 0 s, which sends a reset."""
 
@@ -53,18 +60,35 @@
         self.media_type = ""
         self.has_partial_body = False
 
-    async def write(self, upstream: UpstreamResponse, data: bytes) -> None:
-        """Writes bytes, after the status and headers if they were not yet sent."""
+    async def write(
+        self,
+        upstream: UpstreamResponse,
+        data: bytes,
+        content_length: int | None = None,
+    ) -> None:
+        """Writes bytes, after the status and headers if they were not yet sent.
+
+        ``content_length`` is the length of the body, if that is known.
+        """
         if self.response is None:
             headers = self.core.call_format.response_headers(upstream.header_items)
             response = web.StreamResponse(status=upstream.head.status, headers=headers)
             if self.core.stopping:
                 response.force_close()
+            response.content_length = content_length
             self.response = response
             self.media_type = upstream.media_type
             await response.prepare(self.request)
-        if data:
-            await self.response.write(data)
+        for start in range(0, len(data), SLICE_BYTES):
+            await self.response.write(data[start : start + SLICE_BYTES])
+
+    def may_keep(self, size_bytes: int) -> bool:
+        """Returns whether so much of a response may be kept before it is passed on."""
+        if size_bytes <= SLICE_BYTES:
+            return True
+        if size_bytes > MAX_BUFFERED_BYTES:
+            return False
+        return self.request.protocol.hold_response(RESPONSE_COPIES * size_bytes)
 
     def find_mismatch(self, upstream: UpstreamResponse) -> str:
         """Returns why a response can't go on one that has begun, empty if it can."""
@@ -118,18 +142,29 @@
     on_data()
     while data := await upstream.read_chunk(_remaining_s(core, call)):
         body += data
-        if writer.response is not None or len(body) > MAX_BUFFERED_BYTES:
+        if writer.response is not None or not writer.may_keep(len(body)):
             writer.has_partial_body = True
-            await writer.write(upstream, bytes(body))
-            body.clear()
+            part, body = bytes(body), bytearray()
+            await writer.write(upstream, part)
     await upstream.check_end(streams=False)
     if writer.response is not None:
         await writer.response.write_eof()
         return writer.response
+    if len(body) > SLICE_BYTES:
+        return await _finish_large(writer, upstream, bytes(body))
     headers = core.call_format.response_headers(upstream.header_items)
     return web.Response(status=upstream.head.status, body=bytes(body), headers=headers)
 
 
+async def _finish_large(
+    writer: ResponseWriter, upstream: UpstreamResponse, body: bytes
+) -> web.StreamResponse:
+    """Writes a whole response as fast as the caller takes it."""
+    await writer.write(upstream, body, content_length=len(body))
+    await writer.response.write_eof()
+    return writer.response
+
+
 async def deliver_stream(
     core: GatewayCore,
     call: Call,
--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -1,11 +1,12 @@
 """Sends one request to an endpoint, and reads the response to its end."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 
 import aiohttp
 from aiohttp.http import HttpProcessingError
+from multidict import CIMultiDict
 from yarl import URL
 
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
@@ -21,6 +22,10 @@
     "send_to_endpoint",
 ]
 
+SLICE_BYTES = 65_536
+"""Size of the parts in which a body is sent, in bytes. Written at once, the rest would
+be copied until the endpoint has taken it."""
+
 SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -46,13 +51,18 @@
     nothing was sent, and other exceptions if the outcome is unknown.
     """
     started_at = core.clock()
+    headers, data = request.headers, request.body or None
+    if len(request.body) > SLICE_BYTES:
+        headers = CIMultiDict(headers)
+        headers["Content-Length"] = str(len(request.body))
+        data = _slices(request.body)
     try:
         with send_once(sent):
             response = await core.session.request(
                 request.method,
                 URL(f"http://{entry.address}{request.path}", encoded=True),
-                headers=request.headers,
-                data=request.body or None,
+                headers=headers,
+                data=data,
                 allow_redirects=False,
                 skip_auto_headers=SKIPPED_HEADERS,
                 timeout=aiohttp.ClientTimeout(
@@ -66,6 +76,11 @@
             core.reach.record_connected(started_at)
 
 
+async def _slices(body: bytes) -> AsyncIterator[bytes]:
+    for start in range(0, len(body), SLICE_BYTES):
+        yield body[start : start + SLICE_BYTES]
+
+
 async def read_chunk(response: aiohttp.ClientResponse, timeout_s: float) -> bytes:
     """Returns the next bytes of the body, empty at its end.
 
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -41,19 +42,36 @@
 __all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
 
 
+READ_BUFFER_BYTES = 16_384
+RECEIVE_BUFFER_BYTES = 65_536
+"""What the process and the kernel hold of a response that its caller does not take, in
+bytes; each takes up to twice as much."""
+
 UNKNOWN_MEDIA_TYPE = "application/octet-stream"
 """What the HTTP library of a VM that passes a response on adds if it has no type."""
 
 
 def endpoint_session() -> aiohttp.ClientSession:
     """Returns a session without keep-alive, cookies or decompression."""
+    connector = SingleSendConnector(
+        limit=0, force_close=True, socket_factory=open_endpoint_socket
+    )
     return aiohttp.ClientSession(
-        connector=SingleSendConnector(limit=0, force_close=True),
+        connector=connector,
+        read_bufsize=READ_BUFFER_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
 
 
+def open_endpoint_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Opens a socket that receives little more than its caller takes."""
+    family, kind, protocol, _, _ = address
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return opened
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt of a call at an endpoint."""
