Limit what clients make routers and control processes hold

Operators and callers got no response from a router or a control process, or it took more memory than an instance may, when clients sent tiny chunks, bodies that stopped short, requests ahead or heads without end, kept connections open, or sent frames to the port for other instances that stopped short.

Cause: as at the gateway, nothing counted what connections held; 2,000 requests in flight could hold a body of 1 MB each. The port for instances read frames of 16 MB from whoever connected, handled any number at once, and waited for no reply to be read. Compressed bodies were inflated while they were parsed.

Both programs serve with the connections of the gateway and an account of their own. The first frame of an instance is small and has a timeout, a frame is counted from its announced length on, 64 messages of a connection are handled at once, and replies wait until they are read. A body with a Content-Encoding gets 400: what it inflates to is not known before, and a plain service would have got other bytes than were sent.

--- a/benchmarks/capacity/links.py
+++ b/benchmarks/capacity/links.py
@@ -17,6 +17,8 @@
     Reserved,
     ReserveOrder,
 )
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.client_listeners import client_limits
 from verbenagrade.transport.peer_client import PeerClient
 from verbenagrade.transport.peer_server import PeerServer
 
@@ -67,7 +69,8 @@
         return REPLY
 
     member = MemberVm("vm-0", "a", LOOPBACK_ADDRESS)
-    server = PeerServer(INSTANCE, Members(member), handle)
+    clients = Clients(client_limits(64), time.monotonic)
+    server = PeerServer(INSTANCE, Members(member), handle, clients)
     await server.start(LOOPBACK_ADDRESS, STREAM_PORT)
     client = PeerClient(INSTANCE, Members(member), STREAM_PORT, 5.0)
     cost = await _cpu_s(calls, lambda: client.call(member, Reserve(ORDER)))
--- a/verbenagrade/commands/control.py
+++ b/verbenagrade/commands/control.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import signal
+import time
 from pathlib import Path
 
 import aiohttp
 import typer
-from aiohttp import web
 
 from verbenagrade.events import Event, log_event, set_up_logging
 from verbenagrade.exceptions import SettingsError
 from verbenagrade.settings import ControlSettings, load_settings
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.client_listeners import (
+    ClientAppRunner,
+    client_limits,
+    start_server,
+)
 from verbenagrade.transport.operator_api import OperatorApi
 from verbenagrade.transport.platform import (
     object_store_port,
@@ -42,16 +48,18 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
+    clients = Clients(client_limits(settings.client_memory_mb), time.monotonic)
     async with aiohttp.ClientSession() as session:
         platform = settings.platform
         operators = OperatorApi(
             table_port(session, platform),
             object_store_port(session, platform),
             vm_list_port(session, platform),
+            clients,
         )
-        runner = web.AppRunner(operators.application(), access_log=None)
+        runner = ClientAppRunner(operators.application(), clients)
         await runner.setup()
-        await web.TCPSite(runner, settings.address, settings.port).start()
+        await start_server(runner, settings.address, settings.port)
         log_event(Event.PROCESS_STARTED, instance=settings.vm)
         await stop.wait()
         log_event(Event.PROCESS_STOPPING, instance=settings.vm)
--- a/verbenagrade/settings/types.py
+++ b/verbenagrade/settings/types.py
@@ -44,6 +44,13 @@
     body_bytes: Annotated[
         Count, Meta(description="Maximum size of a request body, in bytes.")
     ] = 1_048_576
+    client_memory_mb: Annotated[
+        Count,
+        Meta(
+            description="Memory that clients may make the process take, in MB, beyond"
+            " what it needs without any."
+        ),
+    ] = 64
     in_flight: Annotated[
         Count, Meta(description="Maximum requests served concurrently.")
     ] = 2_000
@@ -135,6 +142,13 @@
     address: Annotated[str, Meta(description="IP address to listen on.")]
     port: Annotated[Port, Meta(description="Port to serve operators and metrics on.")]
     platform: PlatformSettings
+    client_memory_mb: Annotated[
+        Count,
+        Meta(
+            description="Memory that clients may make the process take, in MB, beyond"
+            " what it needs without any."
+        ),
+    ] = 64
     log_level: Annotated[
         LogLevel, Meta(description="Minimum level of logged events.")
     ] = "info"
--- a/verbenagrade/transport/caller_api.py
+++ b/verbenagrade/transport/caller_api.py
@@ -14,7 +14,13 @@
 from verbenagrade.settings import LimitSettings
 from verbenagrade.state.catalogue import Catalogue
 from verbenagrade.transport.chat import ChatService
-from verbenagrade.transport.requests import check_in_flight, read_body, read_caller
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.requests import (
+    check_in_flight,
+    check_room,
+    read_body,
+    read_caller,
+)
 from verbenagrade.transport.services import ServiceCall, ServiceProxy
 
 __all__ = ["CallerApi", "RouterStatus"]
@@ -57,7 +63,9 @@
         limits: LimitSettings,
         status: Callable[[], RouterStatus],
         is_registered: Callable[[], bool],
+        clients: Clients,
     ) -> None:
+        self.clients = clients
         self.chat = chat
         self.services = services
         self.catalogue = catalogue
@@ -92,6 +100,7 @@
             """Runs the handler and converts its errors to problem documents."""
             self.in_flight += 1
             try:
+                check_room(request)
                 check_in_flight(self.in_flight - 1, self.limits.in_flight)
                 response = await handler(request)
                 self.metrics.requests.inc({"outcome": "answered"})
@@ -162,6 +171,7 @@
 
     async def _handle_metrics(self, request: web.Request) -> web.Response:
         status = self.status()
+        self.clients.record(self.metrics)
         self.metrics.in_flight.set({}, status.in_flight)
         self.metrics.unsettled_attempts.set({}, status.unsettled_attempts)
         self.metrics.revision.set({}, status.revision)
--- a/verbenagrade/transport/operator_api.py
+++ b/verbenagrade/transport/operator_api.py
@@ -39,18 +39,30 @@
     resource_reply,
 )
 from verbenagrade.state.membership import MemberVm
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.requests import check_room, read_body
 
 __all__ = ["OperatorApi"]
 
 RESOURCE_NAME = re.compile(r"^[a-z0-9][a-z0-9.-]{0,99}$")
 
+MAX_BODY_BYTES = 1_048_576
+"""Largest declaration of a resource, in bytes."""
+
 Handler = Callable[[web.Request], Awaitable[object]]
 
 
 class OperatorApi:
     """Serves operators from the platform's services; it keeps no state itself."""
 
-    def __init__(self, table: Table, objects: ObjectStore, vm_list: VmList) -> None:
+    def __init__(
+        self,
+        table: Table,
+        objects: ObjectStore,
+        vm_list: VmList,
+        clients: Clients,
+    ) -> None:
+        self.clients = clients
         self.table = table
         self.objects = objects
         self.vm_list = vm_list
@@ -58,7 +70,7 @@
 
     def application(self) -> web.Application:
         """Returns the aiohttp application."""
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
         resource = "/resources/{kind}/{name}"
         app.router.add_get("/resources", self._with_json_response(self._handle_list))
         app.router.add_get(
@@ -97,7 +109,7 @@
             raise InvalidResourceError(
                 f"name {name!r}: use lower-case letters, digits, dots and hyphens"
             )
-        body = decode_apply(await request.read())
+        body = decode_apply(await read_body(request, MAX_BODY_BYTES))
         declaration = Declaration(
             kind=kind,
             name=name,
@@ -147,6 +159,7 @@
         return ExplainReply(workspace, total_tokens(bills), bills)
 
     async def _handle_metrics(self, request: web.Request) -> web.Response:
+        self.clients.record(self.metrics)
         accepts = tuple(request.headers.getall("Accept", ()))
         return web.Response(
             body=self.metrics.render(accepts), content_type="text/plain"
@@ -160,6 +173,7 @@
         async def handle(request: web.Request) -> web.Response:
             """Runs the handler and encodes its result."""
             try:
+                check_room(request)
                 body = msgspec.json.encode(await handler(request))
             except VerbenagradeError as error:
                 return self._problem_response(error)
--- a/verbenagrade/transport/peer_server.py
+++ b/verbenagrade/transport/peer_server.py
@@ -1,10 +1,13 @@
 """Server for calls of other instances; one task for each connection and call."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 
+from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import UndecodableError, VerbenagradeError
 from verbenagrade.protocol.peer import (
     Frame,
@@ -13,23 +16,42 @@
     decode_frame,
     encode_frame,
 )
+from verbenagrade.state.client_limits import Listener
 from verbenagrade.state.decoding import decode_msgpack
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.membership import Members
 from verbenagrade.state.messages import Message, Reply
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.client_listeners import open_listener
+from verbenagrade.transport.client_streams import StreamClient, count_stream
 from verbenagrade.transport.frames import read_frame, write_frame
 
 __all__ = ["PeerServer"]
 
 STOP_TIMEOUT_S = 1.0
 
+HANDSHAKE_S = 2.0
+"""Time for an instance to name itself, in seconds."""
+
+MAX_HELLO_BYTES = 4_096
+"""Longest first frame of a connection, in bytes."""
+
+READ_LIMIT_BYTES = 16_384
+"""What a connection reads ahead, in bytes."""
+
+MAX_MESSAGES = 64
+"""Messages of one connection that are handled at once."""
+
 MessageHandler = Callable[[Message], Awaitable[Reply]]
 
 
 class PeerServer:
     """Accepts connections of other instances and passes their messages to a handler."""
 
-    def __init__(self, own: Instance, members: Members, handle: MessageHandler) -> None:
+    def __init__(
+        self, own: Instance, members: Members, handle: MessageHandler, clients: Clients
+    ) -> None:
+        self.clients = clients
         self.own = own
         self.members = members
         self.handle = handle
@@ -43,8 +65,9 @@
 
         Raises ``OSError`` if another process uses the port.
         """
+        listener = open_listener(address, port)
         self.server = await asyncio.start_server(
-            self._serve, address, port, reuse_address=True
+            self._serve, sock=listener, limit=READ_LIMIT_BYTES
         )
 
     async def stop(self) -> None:
@@ -65,8 +88,9 @@
         self.writers.add(writer)
         self.connections.add(asyncio.current_task())
         try:
-            if await self._handshake(reader, writer):
-                await self._handle_frames(reader, writer)
+            with count_stream(self.clients, Listener.FLEET, writer) as client:
+                if client is not None and await self._handshake(reader, writer):
+                    await self._handle_frames(reader, writer, client)
         finally:
             self.connections.discard(asyncio.current_task())
             self.writers.discard(writer)
@@ -75,7 +99,12 @@
     async def _handshake(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        data = await read_frame(reader)
+        try:
+            async with asyncio.timeout(HANDSHAKE_S):
+                data = await read_frame(reader, MAX_HELLO_BYTES)
+        except TimeoutError:
+            log_event(Event.PEER_FRAME_INVALID, reason="no greeting in time")
+            return False
         if data is None:
             return False
         try:
@@ -88,12 +117,25 @@
         return True
 
     async def _handle_frames(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        client: StreamClient,
     ) -> None:
-        while (data := await read_frame(reader)) is not None:
+        """Handles the messages of a connection, some of them at once."""
+        free = asyncio.Semaphore(MAX_MESSAGES)
+
+        def end(task: asyncio.Task[None], size_bytes: int) -> None:
+            """Counts a message no more that was handled."""
+            self.tasks.discard(task)
+            client.release(size_bytes)
+            free.release()
+
+        while (data := await read_frame(reader, take=client.take)) is not None:
+            await free.acquire()
             task = asyncio.create_task(self._handle_frame(decode_frame(data), writer))
             self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            task.add_done_callback(partial(end, size_bytes=len(data)))
 
     async def _handle_frame(self, frame: Frame, writer: asyncio.StreamWriter) -> None:
         try:
@@ -103,3 +145,5 @@
             return
         if not writer.is_closing():
             write_frame(writer, encode_frame(frame.correlation, reply))
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
--- a/verbenagrade/transport/requests.py
+++ b/verbenagrade/transport/requests.py
@@ -12,6 +12,7 @@
 __all__ = [
     "Caller",
     "check_in_flight",
+    "check_room",
     "key_with_digest",
     "read_body",
     "read_caller",
@@ -68,8 +69,11 @@
 async def read_body(request: web.Request, limit_bytes: int) -> bytes:
     """Returns the complete body.
 
-    Raises ``InvalidRequestError`` if it exceeds the limit or is incomplete.
+    Raises ``InvalidRequestError`` if it exceeds the limit, is incomplete or has a
+    coding, and ``OverloadedError`` if there is no room for it.
     """
+    if request.headers.get("Content-Encoding", "identity").lower() != "identity":
+        raise InvalidRequestError("request body: send it without Content-Encoding")
     try:
         return await request.read()
     except web.HTTPRequestEntityTooLarge as error:
@@ -91,6 +95,12 @@
     return f"{key}:{hashlib.sha256(body).hexdigest()[:16]}"
 
 
+def check_room(request: web.Request) -> None:
+    """Raises ``OverloadedError`` if no memory is left for the request."""
+    if request.protocol.is_refused:
+        raise OverloadedError("clients hold all memory for them; retry in a second")
+
+
 def check_in_flight(in_flight: int, limit: int) -> None:
     """Raises ``OverloadedError`` if the limit of requests in flight is reached."""
     if in_flight >= limit:
--- a/verbenagrade/transport/router.py
+++ b/verbenagrade/transport/router.py
@@ -3,8 +3,6 @@
 import asyncio
 import time
 
-from aiohttp import web
-
 from verbenagrade.coordination.admission_controller import AdmissionController
 from verbenagrade.coordination.heartbeats import Heartbeats
 from verbenagrade.coordination.instance import FleetInstance
@@ -23,6 +21,12 @@
 from verbenagrade.transport.background import BackgroundTasks
 from verbenagrade.transport.caller_api import CallerApi, RouterStatus
 from verbenagrade.transport.chat import ChatService
+from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.client_listeners import (
+    ClientAppRunner,
+    client_limits,
+    start_server,
+)
 from verbenagrade.transport.connections import Connections
 from verbenagrade.transport.peer_server import PeerServer
 from verbenagrade.transport.services import ServiceProxy
@@ -72,11 +76,18 @@
         self.heartbeats = Heartbeats(
             self.fleet, self.table, self.peers.call, self.instance.incarnation
         )
-        self.peer_server = PeerServer(self.instance, self.members, self.fleet.handle)
+        self.clients = Clients(
+            client_limits(settings.limits.client_memory_mb), self.clock
+        )
+        self.peer_server = PeerServer(
+            self.instance, self.members, self.fleet.handle, self.clients
+        )
         self.registration: Registration | None = None
         self.callers = self._create_caller_api()
-        self.runner = web.AppRunner(
-            self.callers.application(), access_log=None, shutdown_timeout=STOP_TIMEOUT_S
+        self.runner = ClientAppRunner(
+            self.callers.application(),
+            self.clients,
+            shutdown_timeout=STOP_TIMEOUT_S,
         )
 
     async def run(self, stop: asyncio.Event, force: asyncio.Event) -> None:
@@ -155,14 +166,14 @@
             self.settings.limits,
             self.status,
             lambda: self.fleet.holder.grants.registered,
+            self.clients,
         )
 
     async def _start(self) -> None:
         settings = self.settings
         await self.peer_server.start(settings.address, settings.peer_port)
         await self.runner.setup()
-        site = web.TCPSite(self.runner, settings.address, settings.caller_port)
-        await site.start()
+        await start_server(self.runner, settings.address, settings.caller_port)
         timing = settings.timing
         run_periodically = self.background.run_periodically
         run_periodically(timing.vm_list_s, self._refresh_members)
