Let clients that hold too much come in the soak

It checks all invariants of ordinary calls, memory and descriptors from /proc, that no process ends by itself, and that each gateway answers afterwards.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from soak.run import (
     SoakReport,
     run_crash_seed,
+    run_crowd_seed,
     run_end_seed,
     run_limit_seed,
     run_row_seed,
@@ -45,6 +46,9 @@
     stops: Annotated[
         bool, typer.Option(help="Stop gateways as planned under long calls instead.")
     ] = False,
+    clients: Annotated[
+        bool, typer.Option(help="Let clients come that send or hold too much instead.")
+    ] = False,
     beside: Annotated[
         Path | None,
         typer.Option(
@@ -62,6 +66,7 @@
         (stops, partial(run_stop_seed, other_build=other_build)),
         (crashes, run_crash_seed),
         (limits, run_limit_seed),
+        (clients, run_crowd_seed),
     )
     for chosen, mode in modes:
         play = mode if chosen else play
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -23,7 +23,9 @@
     ``stream_ends`` tells how endpoints ended the streams of each call, and
     ``whole_streams`` has the calls whose stream an endpoint has sent to its end, and
     the name of the endpoint. ``noise`` has what the last endpoint that sent events of a
-    call sent after them, which may reach the client before the stream breaks off.
+    call sent after them, which may reach the client before the stream breaks off. Calls
+    that were recorded as retryable, or whose ids begin with ``retryable_prefix``, may
+    run again.
     """
 
     def __init__(self, prepaid_tokens: int, tokens_per_event: int) -> None:
@@ -32,6 +34,7 @@
         self.run_counts: Counter[str] = Counter()
         self.status_counts: Counter[str] = Counter()
         self.retryable_calls: set[str] = set()
+        self.retryable_prefix = "retryable-"
         self.refused_calls: set[str] = set()
         self.spent_tokens = 0
         self.violations: list[Violation] = []
@@ -51,7 +54,7 @@
             self.violations.append(
                 Violation("only calls with known API keys run", call, workspace)
             )
-        if call in self.retryable_calls:
+        if call in self.retryable_calls or call.startswith(self.retryable_prefix):
             return
         if self.run_counts[call] > 1:
             self.violations.append(Violation("runs at most once", call))
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import subprocess
 import sys
@@ -21,13 +22,16 @@
 from verbenagrade.platform.tests.endpoint_standin import EndpointStandIn
 from verbenagrade.platform.tests.store_standin import StoreStandIn
 
-__all__ = ["SOFTWARE_VERSIONS", "SoakEnvironment"]
+__all__ = ["MEMORY_MB", "SOFTWARE_VERSIONS", "SoakEnvironment"]
 
 GATEWAYS = 3
 ENDPOINTS = 3
 SMALL_BUDGET_TOKENS, LARGE_BUDGET_TOKENS = 15_000, 10_000_000
 """Prepaid tokens of odd and even seeds, so that some runs use up their budget."""
 
+MEMORY_MB = 150
+"""Memory of a gateway, in MB."""
+
 STARTUP_S = 20.0
 POLL_S = 0.05
 SOFTWARE_VERSIONS = ("v1", "v2")
@@ -41,7 +45,8 @@
 
     ``versions`` are those of the endpoints, in turn, and ``passes_resets`` is that of
     their proxies. ``routes`` replaces the usual routes unless it is empty. Every second
-    gateway runs the build in the folder ``other_build``, if there is one.
+    gateway runs the build in the folder ``other_build``, if there is one. There are so
+    many ``gateways``, each with a limit on its ``descriptors`` unless that is 0.
     """
 
     def __init__(
@@ -50,7 +55,11 @@
         versions: tuple[str, ...] = SOFTWARE_VERSIONS,
         passes_resets: bool = False,
         other_build: Path | None = None,
+        gateways: int = GATEWAYS,
+        descriptors: int = 0,
     ) -> None:
+        self.gateways = gateways
+        self.descriptors = descriptors
         self.other_build = other_build
         self.versions = versions
         self.passes_resets = passes_resets
@@ -62,7 +71,7 @@
         self.endpoints: list[EndpointStandIn] = []
         self.store_proxies: list[Proxy] = []
         self.endpoint_proxies: list[Proxy] = []
-        self.processes: list[subprocess.Popen | None] = [None] * GATEWAYS
+        self.processes: list[subprocess.Popen | None] = [None] * gateways
         self.addresses: list[str] = []
         self.log_directory = Path(tempfile.mkdtemp(prefix="verbenagrade-soak-"))
         self.configuration_version = 1
@@ -81,7 +90,7 @@
         for number in range(ENDPOINTS):
             version = self.versions[number % len(self.versions)]
             await self.add_endpoint(version, self.faults_enabled)
-        for number in range(GATEWAYS):
+        for number in range(self.gateways):
             proxy = Proxy(self.store.address)
             await proxy.start()
             self.store_proxies.append(proxy)
@@ -90,7 +99,7 @@
             self._write_settings(number, host)
             self.start_gateway(number)
         async with asyncio.timeout(STARTUP_S), aiohttp.ClientSession() as session:
-            for number in range(GATEWAYS):
+            for number in range(self.gateways):
                 url = f"http://{self.network_prefix}.{number + 1}:{READY_PORT}/"
                 await _wait_until_ready(session, url)
 
@@ -133,6 +142,10 @@
             stderr=log,
         )
         log.close()
+        if self.descriptors:
+            limits = (self.descriptors, self.descriptors)
+            pid = self.processes[number].pid
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
 
     def signal_gateway(self, number: int, signum: signal.Signals) -> None:
         """Sends a signal to a gateway if its process is running."""
@@ -226,7 +239,7 @@
                 "retry_slack": 56,
                 "revoke_ms": 5000,
             },
-            "memory_mb": 150,
+            "memory_mb": MEMORY_MB,
         }
         self._settings_path(number).write_text(json.dumps(settings))
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from soak.checks import Violation
 from soak.clients import Client
 from soak.crashes import play_crashes
+from soak.crowds import DESCRIPTORS, play_crowds
 from soak.ends import play_ends
 from soak.environment import SOFTWARE_VERSIONS, SoakEnvironment
 from soak.faults import inject_drills, inject_faults, inject_mass_kills
@@ -20,6 +21,7 @@
 __all__ = [
     "SoakReport",
     "run_crash_seed",
+    "run_crowd_seed",
     "run_end_seed",
     "run_limit_seed",
     "run_row_seed",
@@ -36,6 +38,10 @@
 CLIENTS = 10
 FAULT_INJECTORS = 2
 THREE_VERSIONS = ("v1", "v2", "v3")
+MANY_GATEWAYS = 16
+MANY_GATEWAYS_SEEDS = 10
+"""One in so many seeds with crowds runs many gateways."""
+
 MASS_KILL_SEEDS = 4
 """One in so many seeds kills all gateways at once beside drills."""
 
@@ -134,6 +140,18 @@
     return await _run_play(play_crashes, seed, seconds)
 
 
+async def run_crowd_seed(seed: int, seconds: float) -> SoakReport:
+    """Runs gateways beside clients that hold too much, and faults, for ``seconds``.
+
+    Some seeds run many gateways. ``run_count`` is the number of runs at endpoints.
+    """
+    many = seed % MANY_GATEWAYS_SEEDS == 0
+    environment = SoakEnvironment(
+        2 * seed, gateways=MANY_GATEWAYS if many else 3, descriptors=DESCRIPTORS
+    )
+    return await _run_play(play_crowds, seed, seconds, environment)
+
+
 async def run_limit_seed(seed: int, seconds: float) -> SoakReport:
     """Runs gateways, an endpoint that names a limit, and faults for ``seconds``.
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 from soak.run import (
     run_crash_seed,
+    run_crowd_seed,
     run_end_seed,
     run_limit_seed,
     run_row_seed,
@@ -65,6 +66,13 @@
     assert report.status_counts.get("200", 0) > 100
 
 
+# Clients send or hold too much beside ordinary ones, stops, kills and a silent store.
+async def test_crowds_of_clients_cost_neither_processes_nor_answers():
+    report = await run_crowd_seed(1, SECONDS)
+    assert report.violations == ()
+    assert report.status_counts.get("200", 0) > 20
+
+
 # Another writer's rows can't be decoded. Seed 410200 found calls that were not served.
 async def test_rows_that_cannot_be_decoded_cost_no_calls():
     report = await run_row_seed(410200, SECONDS)
