Limit the log lines of routers and control processes

A client that sends refused requests without end made a router or a control process write a line for each, to a descriptor that could block the process while nobody read it. They log as a gateway does now: at most 500 lines a second, dropped and counted beyond, without blocking. Found by reading; the stream has its tests, and test_end_to_end passes with it.

--- a/verbenagrade/events/log.py
+++ b/verbenagrade/events/log.py
@@ -18,6 +18,9 @@
 """Libraries whose info messages repeat what the events already log for each call."""
 
 
+LINES_PER_S = 500
+"""Lines that a router or a control process logs per second at most."""
+
 MAX_ESCAPED = 500
 """Largest length of a field that could not be encoded as it is, in characters."""
 
@@ -32,18 +35,12 @@
 
 
 def set_up_logging(level: str, process: str) -> None:
-    """Logs events of ``level`` and above to standard error.
+    """Logs events of ``level`` and above to standard error without blocking.
 
-    Raises ``LookupError`` if ``logbook`` does not define the level.
+    At most ``LINES_PER_S`` lines are written per second, as by
+    ``set_up_rate_limited_logging``.
     """
-
-    def format_record(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
-        """Formats a record as JSON with the name of this process."""
-        return _format_record(record, process)
-
-    handler = logbook.StreamHandler(sys.stderr, level=level.upper())
-    handler.formatter = format_record
-    handler.push_application()
+    _set_up(level, process, sys.stderr.fileno(), LINES_PER_S)
 
 
 def _format_record(record: logbook.LogRecord, process: str) -> str:
@@ -71,6 +68,11 @@
     and counted. Messages that libraries log with the standard library's ``logging``
     are written too. Raises ``LookupError`` if ``logbook`` does not define the level.
     """
+    _set_up(level, process, sys.stdout.fileno(), lines_per_s)
+
+
+def _set_up(level: str, process: str, descriptor: int, lines_per_s: float) -> None:
+    """Logs to a descriptor, at most so many lines per second."""
 
     def format_record(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
         """Formats a record as JSON with the name of this process."""
@@ -82,7 +84,7 @@
         line = {"process": process, "event": event.number, "message": event.message}
         return msgspec.json.encode({**line, "count": count}).decode()
 
-    stream = RateLimitedStream(sys.stdout.fileno(), lines_per_s, format_summary)
+    stream = RateLimitedStream(descriptor, lines_per_s, format_summary)
     handler = logbook.StreamHandler(stream, level=level.upper())
     handler.formatter = format_record
     handler.push_application()
