Bound the instances that strangers can name to a router

Whoever connected to the port for other instances could name any number of them, and each was remembered. At most 10,000 are known now. A connection whose instance has named itself gives way after those that have not. The port still asks for no proof of who connects. test_invented_instances_are_not_recorded_without_end failed before.

--- a/verbenagrade/transport/client_streams.py
+++ b/verbenagrade/transport/client_streams.py
@@ -45,6 +45,12 @@
         if self.record.activity is Activity.RECEIVING and not self.held_bytes:
             account.progress(self.record, Activity.IDLE, now)
 
+    def prefer(self) -> None:
+        """Lets connections without a greeting give way before this one."""
+        self.record.served = True
+        account, now = self.clients.account, self.clients.clock()
+        account.progress(self.record, Activity.IDLE, now)
+
     def trust(self) -> None:
         """Keeps the connection open whatever other clients hold."""
         account, now = self.clients.account, self.clients.clock()
--- a/verbenagrade/transport/peer_server.py
+++ b/verbenagrade/transport/peer_server.py
@@ -39,6 +39,9 @@
 READ_LIMIT_BYTES = 16_384
 """What a connection reads ahead, in bytes."""
 
+MAX_INSTANCES = 10_000
+"""Instances that may be known. Whoever connects can name one."""
+
 MAX_MESSAGES = 64
 """Messages of one connection that are handled at once."""
 
@@ -90,6 +93,7 @@
         try:
             with count_stream(self.clients, Listener.FLEET, writer) as client:
                 if client is not None and await self._handshake(reader, writer):
+                    client.prefer()
                     await self._handle_frames(reader, writer, client)
         finally:
             self.connections.discard(asyncio.current_task())
@@ -111,11 +115,19 @@
             peer_hello = decode_msgpack(data, Hello)
         except UndecodableError:
             return False
+        if not self._may_record(peer_hello.instance):
+            log_event(Event.PEER_FRAME_INVALID, reason="too many instances are known")
+            return False
         self.members.record_instance(peer_hello.instance)
         own = Hello(self.own, self.members.own.data_centre)
         write_frame(writer, msgspec.msgpack.encode(own))
         return True
 
+    def _may_record(self, instance: Instance) -> bool:
+        """Returns whether an instance is known, or another one may be."""
+        known = self.members.instances
+        return instance.vm in known or len(known) < MAX_INSTANCES
+
     async def _handle_frames(
         self,
         reader: asyncio.StreamReader,
