--- a/benchmarks/capacity/links.py
+++ b/benchmarks/capacity/links.py
@@ -17,8 +17,8 @@
     Reserved,
     ReserveOrder,
 )
-from verbenagrade.transport.client_input import Clients
-from verbenagrade.transport.client_listeners import client_limits
+from verbenagrade.transport.clients.listeners import client_limits
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.peer_client import PeerClient
 from verbenagrade.transport.peer_server import PeerServer
 
--- a/verbenagrade/commands/control.py
+++ b/verbenagrade/commands/control.py
@@ -11,12 +11,12 @@
 from verbenagrade.events import Event, log_event, set_up_logging
 from verbenagrade.exceptions import SettingsError
 from verbenagrade.settings import ControlSettings, load_settings
-from verbenagrade.transport.client_input import Clients
-from verbenagrade.transport.client_listeners import (
+from verbenagrade.transport.clients.listeners import (
     ClientAppRunner,
     client_limits,
     start_server,
 )
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.operator_api import OperatorApi
 from verbenagrade.transport.platform import (
     object_store_port,
--- a/verbenagrade/transport/caller_api.py
+++ b/verbenagrade/transport/caller_api.py
@@ -14,7 +14,7 @@
 from verbenagrade.settings import LimitSettings
 from verbenagrade.state.catalogue import Catalogue
 from verbenagrade.transport.chat import ChatService
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.requests import (
     check_in_flight,
     check_room,
--- a/verbenagrade/transport/client_listeners.py
+++ b/verbenagrade/transport/clients/listeners.py
@@ -13,8 +13,8 @@
     limits_of_listeners,
 )
 from verbenagrade.state.routes import CallerLimits
-from verbenagrade.transport.client_connections import ClientServer, ListenerOptions
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.server import ClientServer, ListenerOptions
+from verbenagrade.transport.clients.shared import Clients
 
 __all__ = [
     "ClientAppRunner",
--- a/verbenagrade/transport/client_streams.py
+++ b/verbenagrade/transport/clients/streams.py
@@ -7,7 +7,7 @@
 from verbenagrade.events import Event, log_event
 from verbenagrade.state.client_account import Activity, ClientRecord, GiveUpReason
 from verbenagrade.state.client_limits import Listener
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.shared import Clients
 
 __all__ = ["StreamClient", "count_stream"]
 
--- /dev/null
+++ b/verbenagrade/transport/clients/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the connections of clients."""
--- a/verbenagrade/transport/tests/test_client_connections.py
+++ b/verbenagrade/transport/clients/tests/test_connections.py
@@ -10,10 +10,10 @@
 from verbenagrade.state.client_account import Activity, ListenerLimits
 from verbenagrade.state.client_limits import Listener
 from verbenagrade.state.routes import CallerLimits
-from verbenagrade.transport import client_connections
-from verbenagrade.transport.client_connections import ClientServer, ListenerOptions
-from verbenagrade.transport.client_input import Clients
-from verbenagrade.transport.client_listeners import start_server
+from verbenagrade.transport.clients import parsing
+from verbenagrade.transport.clients.listeners import start_server
+from verbenagrade.transport.clients.server import ClientServer, ListenerOptions
+from verbenagrade.transport.clients.shared import Clients
 
 LIMITS = CallerLimits(header_timeout_s=0.5, idle_timeout_s=1.0)
 WAIT_S = 10.0
@@ -25,7 +25,7 @@
 def _parser(request, monkeypatch):
     """Uses a parser of the library: that in C, if there is one, or that in Python."""
     parser = getattr(http_parser, request.param)
-    monkeypatch.setattr(client_connections, "HttpRequestParser", parser)
+    monkeypatch.setattr(parsing, "HttpRequestParser", parser)
 
 
 @pytest.fixture
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -16,7 +16,7 @@
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.holders import HolderRanking, HolderVm
 from verbenagrade.state.relay_peers import RelayPeer
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.holder_connection import SpenderIdentity
 from verbenagrade.transport.gateway.holder_links import HolderLinkTable
--- a/verbenagrade/transport/gateway/core.py
+++ b/verbenagrade/transport/gateway/core.py
@@ -26,7 +26,7 @@
 from verbenagrade.state.placement import PlacementTable
 from verbenagrade.state.retry_budget import RetryBudget, RetryPolicy
 from verbenagrade.state.routes import RouteIndex
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.gateway.send_limits import SendLimit
 
 __all__ = ["BrokenCall", "CrashCheck", "GatewayCore", "Reach"]
--- a/verbenagrade/transport/gateway/holder_server.py
+++ b/verbenagrade/transport/gateway/holder_server.py
@@ -31,9 +31,9 @@
     ReserveResult,
     ReserveStatus,
 )
-from verbenagrade.transport.client_input import Clients
-from verbenagrade.transport.client_listeners import open_listener
-from verbenagrade.transport.client_streams import StreamClient, count_stream
+from verbenagrade.transport.clients.listeners import open_listener
+from verbenagrade.transport.clients.shared import Clients
+from verbenagrade.transport.clients.streams import StreamClient, count_stream
 from verbenagrade.transport.frames import read_frame, write_frame
 from verbenagrade.transport.gateway.holder_connection import (
     MAX_RESERVATION_FRAME_BYTES,
--- a/verbenagrade/transport/gateway/listeners.py
+++ b/verbenagrade/transport/gateway/listeners.py
@@ -6,14 +6,14 @@
 
 from verbenagrade.state.client_limits import Listener
 from verbenagrade.state.routes import CallerLimits
-from verbenagrade.transport.client_connections import (
-    MAX_LINE_BYTES,
+from verbenagrade.transport.clients.listeners import start_server
+from verbenagrade.transport.clients.parsing import MAX_LINE_BYTES
+from verbenagrade.transport.clients.server import (
     ClientServer,
     Handler,
     ListenerOptions,
 )
-from verbenagrade.transport.client_input import Clients
-from verbenagrade.transport.client_listeners import start_server
+from verbenagrade.transport.clients.shared import Clients
 
 __all__ = ["listen_for_callers", "listen_for_health_checks", "listen_for_vms"]
 
--- a/verbenagrade/transport/gateway/memory.py
+++ b/verbenagrade/transport/gateway/memory.py
@@ -5,7 +5,7 @@
 from verbenagrade.settings.gateway import GatewaySettings
 from verbenagrade.state.client_account import ListenerLimits
 from verbenagrade.state.client_limits import ProcessLimits, limits_of_listeners
-from verbenagrade.transport.client_listeners import available_descriptors
+from verbenagrade.transport.clients.listeners import available_descriptors
 
 __all__ = ["client_limits", "max_calls"]
 
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -33,8 +33,8 @@
 from verbenagrade.state.documents import DocumentFormat
 from verbenagrade.state.placement import PlacementTable, VmLocation
 from verbenagrade.state.routes import CallerLimits
-from verbenagrade.transport.client_connections import MAX_LINE_BYTES
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.parsing import MAX_LINE_BYTES
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.gateway.assembly import (
     GatewayBudgets,
     make_versions,
--- a/verbenagrade/transport/operator_api.py
+++ b/verbenagrade/transport/operator_api.py
@@ -39,7 +39,7 @@
     resource_reply,
 )
 from verbenagrade.state.membership import MemberVm
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.requests import check_room, read_body
 
 __all__ = ["OperatorApi"]
--- a/verbenagrade/transport/peer_server.py
+++ b/verbenagrade/transport/peer_server.py
@@ -21,9 +21,9 @@
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.membership import Members
 from verbenagrade.state.messages import Message, Reply
-from verbenagrade.transport.client_input import Clients
-from verbenagrade.transport.client_listeners import open_listener
-from verbenagrade.transport.client_streams import StreamClient, count_stream
+from verbenagrade.transport.clients.listeners import open_listener
+from verbenagrade.transport.clients.shared import Clients
+from verbenagrade.transport.clients.streams import StreamClient, count_stream
 from verbenagrade.transport.frames import read_frame, write_frame
 
 __all__ = ["PeerServer"]
--- a/verbenagrade/transport/router.py
+++ b/verbenagrade/transport/router.py
@@ -21,12 +21,12 @@
 from verbenagrade.transport.background import BackgroundTasks
 from verbenagrade.transport.caller_api import CallerApi, RouterStatus
 from verbenagrade.transport.chat import ChatService
-from verbenagrade.transport.client_input import Clients
-from verbenagrade.transport.client_listeners import (
+from verbenagrade.transport.clients.listeners import (
     ClientAppRunner,
     client_limits,
     start_server,
 )
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.connections import Connections
 from verbenagrade.transport.peer_server import PeerServer
 from verbenagrade.transport.services import ServiceProxy
--- a/verbenagrade/transport/tests/test_peer_server.py
+++ b/verbenagrade/transport/tests/test_peer_server.py
@@ -12,7 +12,7 @@
 from verbenagrade.state import Instance, Members, MemberVm, Reserve, ReserveOrder
 from verbenagrade.state.client_account import ListenerLimits
 from verbenagrade.transport import peer_server
-from verbenagrade.transport.client_input import Clients
+from verbenagrade.transport.clients.shared import Clients
 from verbenagrade.transport.frames import read_frame, write_frame
 from verbenagrade.transport.peer_server import MAX_MESSAGES, PeerServer
 
