Limit the log lines about clients that were given up

At most 20 lines a second tell of clients that were given up or failed; the metrics count all of them. test_lines_about_clients_are_limited_each_second failed before.

--- a/verbenagrade/transport/clients/counting.py
+++ b/verbenagrade/transport/clients/counting.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from verbenagrade.events import Event, log_event
+from verbenagrade.events import Event
 from verbenagrade.exceptions import OverloadedError
 from verbenagrade.state.client_account import Activity, ClientRecord, GiveUpReason
 from verbenagrade.state.client_limits import Listener
@@ -117,7 +117,7 @@
         return self.is_serving and self.receives_body()
 
     def _log_given_up(self, reason: GiveUpReason) -> None:
-        log_event(
+        self.clients.log(
             Event.CLIENT_GIVEN_UP,
             listener=self.listener,
             reason=reason.value,
@@ -200,4 +200,4 @@
     def log_exception(self, *args: object, **options: object) -> None:
         """Logs an error of a connection as an event, without a traceback."""
         error = repr(options.get("exc_info"))[:MAX_REASON]
-        log_event(Event.CONNECTION_FAILED, listener=self.listener, reason=error)
+        self.clients.log(Event.CONNECTION_FAILED, listener=self.listener, reason=error)
--- a/verbenagrade/transport/clients/shared.py
+++ b/verbenagrade/transport/clients/shared.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
+from verbenagrade.events import Event, log_event
 from verbenagrade.metrics import ProcessMetrics
 from verbenagrade.state.client_account import ClientAccount, ListenerLimits
 from verbenagrade.state.input_turns import InputTurns, TurnBudget
@@ -20,6 +21,10 @@
 parsed requests may take, in bytes."""
 
 
+LINES_PER_S = 20
+"""Most log lines a second about clients that were given up or failed."""
+
+
 class InputConnection(Protocol):
     """A connection with bytes to parse; ``work_s`` is what its request took so far."""
 
@@ -45,6 +50,7 @@
         self.turns: InputTurns[InputConnection] = InputTurns()
         self.budget = TurnBudget(TURN_S, TURN_BYTES)
         self.is_scheduled = False
+        self.logged_second = self.logged_lines = 0
 
     def record(self, metrics: ProcessMetrics) -> None:
         """Sets the metrics of what clients hold."""
@@ -56,6 +62,18 @@
             labels = {"listener": listener, "reason": reason.value}
             metrics.clients_given_up.set(labels, count)
 
+    def log(self, event: Event, **fields: object) -> None:
+        """Logs an event about a client, unless there were many within the second.
+
+        The metrics count all of them. Lines about calls keep their room in the log.
+        """
+        second = int(self.clock())
+        if second != self.logged_second:
+            self.logged_second, self.logged_lines = second, 0
+        if self.logged_lines < LINES_PER_S:
+            self.logged_lines += 1
+            log_event(event, **fields)
+
     def submit(self, connection: InputConnection) -> None:
         """Parses a piece of a connection now, or in a later turn."""
         if connection.is_queued:
--- a/verbenagrade/transport/clients/streams.py
+++ b/verbenagrade/transport/clients/streams.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from verbenagrade.events import Event, log_event
+from verbenagrade.events import Event
 from verbenagrade.state.client_account import Activity, ClientRecord, GiveUpReason
 from verbenagrade.state.client_limits import Listener
 from verbenagrade.transport.clients.shared import Clients
@@ -59,7 +59,7 @@
     def give_up(self, reason: GiveUpReason) -> None:
         """Closes the connection."""
         account = self.clients.account
-        log_event(
+        self.clients.log(
             Event.CLIENT_GIVEN_UP,
             listener=self.record.listener,
             reason=reason.value,
