--- a/verbenagrade/tests/crowds/gateway.py
+++ b/verbenagrade/tests/crowds/gateway.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import re
 
 import aiohttp
 
@@ -146,6 +147,19 @@
             await asyncio.sleep(RETRY_S)
         raise AssertionError(f"{listener}: no response")
 
+    async def wait_until_given_back(self) -> None:
+        """Waits until no client holds anything but the connection that asks."""
+        url = f"http://127.0.0.1:{self.ports['metrics']}/"
+        for _ in range(RETRIES):
+            async with self.session.get(url) as response:
+                text = await response.text()
+            held = re.findall(r'client_connections\{listener="(\w+)"\} (\d+)', text)
+            assert held
+            if sum(int(count) for _, count in held) <= 1:
+                return
+            await asyncio.sleep(RETRY_S)
+        raise AssertionError(f"connections are left: {held}")
+
     def assert_within_limits(self) -> None:
         """Checks that the process lives and has kept to its memory and descriptors."""
         assert self.process.lives
--- a/verbenagrade/tests/crowds/test_callers.py
+++ b/verbenagrade/tests/crowds/test_callers.py
@@ -60,6 +60,24 @@
     gateway.assert_within_limits()
 
 
+@pytest.mark.parametrize(
+    "name",
+    [
+        "chunks of a byte",
+        "bodies with a length that stop short",
+        "calls with bodies sent ahead",
+        "fields without end",
+        "bytes after CONNECT",
+    ],
+)
+async def test_nothing_is_held_after_the_crowd_has_left(gateway, crowd_at, name):
+    await gateway.start(plain())
+    async with crowd_at(gateway.address()) as crowd:
+        crowd.add(CLIENTS, CROWDS[name])
+        await crowd.settle()
+    await gateway.wait_until_given_back()
+
+
 @pytest.mark.parametrize(
     "pieces",
     [
