Move the tests of crowds to those of the platform's adapter

They speak the platform's protocol, whose names only the adapter and its tests may use: test_platform_terms_appear_only_in_the_adapter found it. Crowds and bounds are as they were. A stand-in of read_body in test_planned_stop takes the deadline that the function has got.

--- a/soak/crowds.py
+++ b/soak/crowds.py
@@ -26,8 +26,8 @@
 )
 from soak.faults import inject_faults
 from verbenagrade.platform.tests.caller import call_headers
-from verbenagrade.tests.crowds import processes, requests
-from verbenagrade.tests.crowds.clients import Crowd
+from verbenagrade.platform.tests.crowds import processes, requests
+from verbenagrade.platform.tests.crowds.clients import Crowd
 
 __all__ = ["DESCRIPTORS", "play_crowds"]
 
--- a/verbenagrade/tests/crowds/conftest.py
+++ b/verbenagrade/platform/tests/crowds/conftest.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from verbenagrade.tests.crowds.clients import Crowd
-from verbenagrade.tests.crowds.gateway import GatewayUnderTest
+from verbenagrade.platform.tests.crowds.clients import Crowd
+from verbenagrade.platform.tests.crowds.gateway import GatewayUnderTest
 
 
 @pytest.fixture(params=["c", "python"])
--- a/verbenagrade/tests/crowds/gateway.py
+++ b/verbenagrade/platform/tests/crowds/gateway.py
@@ -13,9 +13,7 @@
     configuration_document,
     route,
 )
-from verbenagrade.platform.tests.endpoint_standin import EndpointStandIn
-from verbenagrade.platform.tests.store_standin import StoreStandIn
-from verbenagrade.tests.crowds.processes import (
+from verbenagrade.platform.tests.crowds.processes import (
     BYTES_PER_MB,
     POLL_S,
     START_S,
@@ -23,6 +21,8 @@
     Process,
     free_port,
 )
+from verbenagrade.platform.tests.endpoint_standin import EndpointStandIn
+from verbenagrade.platform.tests.store_standin import StoreStandIn
 
 MEMORY_MB = 110
 """Memory of the process, which is near that of an idle one."""
--- a/verbenagrade/tests/crowds/test_callers.py
+++ b/verbenagrade/platform/tests/crowds/test_callers.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from verbenagrade.platform.tests.crowds import requests
 from verbenagrade.platform.tests.endpoint_standin import plain, stream
-from verbenagrade.tests.crowds import requests
 
 CLIENTS = 60
 MANY_CLIENTS = 300
--- a/verbenagrade/tests/crowds/test_other_listeners.py
+++ b/verbenagrade/platform/tests/crowds/test_other_listeners.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from verbenagrade.platform.tests.crowds import requests
 from verbenagrade.platform.tests.endpoint_standin import plain
-from verbenagrade.tests.crowds import requests
 
 CLIENTS = 60
 MANY_CLIENTS = 360
--- a/verbenagrade/tests/crowds/test_routers.py
+++ b/verbenagrade/platform/tests/crowds/test_routers.py
@@ -11,8 +11,8 @@
 import aiohttp
 import pytest
 
-from verbenagrade.tests.crowds import requests
-from verbenagrade.tests.crowds.processes import (
+from verbenagrade.platform.tests.crowds import requests
+from verbenagrade.platform.tests.crowds.processes import (
     BYTES_PER_MB,
     POLL_S,
     Observer,
--- a/verbenagrade/tests/crowds/test_single_requests.py
+++ b/verbenagrade/platform/tests/crowds/test_single_requests.py
@@ -5,9 +5,9 @@
 import pytest
 
 from verbenagrade.platform.tests.conftest import API_KEY
+from verbenagrade.platform.tests.crowds import requests
+from verbenagrade.platform.tests.crowds.gateway import CALL_TIMEOUT_S, LIMITS
 from verbenagrade.platform.tests.endpoint_standin import plain
-from verbenagrade.tests.crowds import requests
-from verbenagrade.tests.crowds.gateway import CALL_TIMEOUT_S, LIMITS
 
 HEAD_BYTES = LIMITS["max_header_bytes"]
 BODY_BYTES = LIMITS["max_body_bytes"]
--- a/verbenagrade/platform/tests/test_planned_stop.py
+++ b/verbenagrade/platform/tests/test_planned_stop.py
@@ -212,7 +212,7 @@
     await fleet.wait_until(lambda: other.core.relay_keys.keys)
     read = []
 
-    async def read_slowly(core, request, limit):
+    async def read_slowly(core, request, limit, deadline):
         read.append(request)
         await asyncio.sleep(LONG_S)
         return b"hello"
