Read no further from clients whose bytes wait for their turn

With 600 clients whose fields did not end, a gateway with 150 MB took 194 to 237 MB. Cause: a connection that waited for its turn to be parsed was read on, and what it kept was not counted: 144 KiB each, found with tracemalloc, and without end if the parser is slow. Reading now stops at 16 KiB, and these bytes count. The parser of a head that is refused as too large is dropped, since it keeps all fields.

test_bytes_that_wait_for_their_turn_are_bounded_and_counted failed before with both parsers.

--- a/verbenagrade/platform/tests/crowds/test_callers.py
+++ b/verbenagrade/platform/tests/crowds/test_callers.py
@@ -60,6 +60,25 @@
     gateway.assert_within_limits()
 
 
+# Guards against what each of many clients may hold while it waits for its turn.
+@pytest.mark.parametrize(
+    "name",
+    [
+        "chunks of a byte",
+        "bodies in one chunk that stop short",
+        "calls with bodies sent ahead",
+        "fields without end",
+    ],
+)
+async def test_many_clients_leave_room_for_an_ordinary_call(gateway, crowd_at, name):
+    await gateway.start(plain())
+    async with crowd_at(gateway.address()) as crowd:
+        crowd.add(MANY_CLIENTS, CROWDS[name])
+        await crowd.settle()
+        assert await gateway.call() == 200
+        gateway.assert_within_limits()
+
+
 @pytest.mark.parametrize(
     "name",
     [
--- a/verbenagrade/transport/clients/connections.py
+++ b/verbenagrade/transport/clients/connections.py
@@ -75,7 +75,8 @@
         self.begin_head()
         if self.can_parse():
             self.clients.submit(self)
-        else:
+        if self.pending:
+            self.note_held()
             self.update_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -215,6 +216,8 @@
         self.leave(GiveUpReason.HEAD_SIZE)
         self.stop_receiving()
         self.stop_timer()
+        # The parser keeps all fields that it has read.
+        self._parser = parsing.make_parser(self, self._loop)
         self.transport.write(TOO_LARGE_RESPONSE)
         self._loop.call_later(LINGER_S, self.force_close)
 
--- a/verbenagrade/transport/clients/tests/test_connections.py
+++ b/verbenagrade/transport/clients/tests/test_connections.py
@@ -13,7 +13,7 @@
 from verbenagrade.transport.clients import parsing
 from verbenagrade.transport.clients.listeners import start_server
 from verbenagrade.transport.clients.server import ClientServer, ListenerOptions
-from verbenagrade.transport.clients.shared import Clients
+from verbenagrade.transport.clients.shared import READ_BYTES, Clients
 
 LIMITS = CallerLimits(header_timeout_s=0.5, idle_timeout_s=1.0)
 WAIT_S = 10.0
@@ -47,6 +47,7 @@
     await runner.setup()
     await start_server(runner, "127.0.0.1", 0)
     yield SimpleNamespace(
+        clients=clients,
         account=clients.account,
         release=release,
         connect=lambda: asyncio.open_connection(*runner.addresses[0]),
@@ -111,6 +112,19 @@
     writer.close()
 
 
+# Guards against reading on while others are parsed, as much as arrives meanwhile.
+async def test_bytes_that_wait_for_their_turn_are_bounded_and_counted(
+    server, monkeypatch
+):
+    monkeypatch.setattr(server.clients, "submit", lambda _connection: None)
+    _, writer = await server.connect()
+    writer.write(request(0, b"x" * 2_000_000))
+    await wait_until(lambda: server.account.held_bytes > 16_000)
+    await asyncio.sleep(0.5)
+    assert server.account.held_bytes <= 16_000 + 2 * READ_BYTES
+    writer.close()
+
+
 async def test_connection_holds_nothing_after_its_request(server):
     reader, writer = await server.connect()
     for number in range(3):
