--- a/verbenagrade/transport/clients/connections.py
+++ b/verbenagrade/transport/clients/connections.py
@@ -56,7 +56,6 @@
         self._max_msg_queue_size = 1
         self._msg_queue_resume_size = 0
         self._parser = parsing.make_parser(self, self._loop)
-        self.is_reading_paused = False
         self.is_drain_scheduled = False
         self.drained_bytes = 0
         self.work_s = 0.0
@@ -76,8 +75,8 @@
         if self.can_parse():
             self.clients.submit(self)
         if self.pending:
-            self.note_held()
             self.update_reading()
+            self.note_held()
 
     def data_received(self, data: bytes) -> None:
         """Does nothing: what the parser holds is parsed when it is its turn."""
--- a/verbenagrade/transport/clients/counting.py
+++ b/verbenagrade/transport/clients/counting.py
@@ -19,6 +19,10 @@
 BODY_COPIES = 2
 """Copies of a body while it is sent on."""
 
+KERNEL_BYTES = 65_536
+"""What the kernel receives for a connection that is not read, in bytes, see
+``listeners``."""
+
 WRITE_BUFFER_BYTES = 32_768
 """Bytes of a response that wait to be written, above which no more are added."""
 
@@ -31,7 +35,8 @@
 
     ``pending`` was received and not given to the parser. ``body`` is that of the last
     request, and ``is_serving`` is set from the end of its head to the end of its
-    response. While ``is_discarding``, nothing more is parsed. A request that found no
+    response. While ``is_reading_paused``, the kernel keeps what arrives. While
+    ``is_discarding``, nothing more is parsed. A request that found no
     room ``is_refused``.
     """
 
@@ -47,7 +52,7 @@
         self.account = clients.account
         self.record = ClientRecord(self.listener, clients.clock(), self.give_up)
         self.received = RequestInput()
-        self.is_counted = False
+        self.is_counted = self.is_reading_paused = False
         self.is_serving = self.is_discarding = self.is_refused = False
         self.pending = b""
         self.body: asyncio.StreamReader | None = None
@@ -129,6 +134,8 @@
     def held_bytes(self) -> int:
         """Returns what the connection holds beyond what it needs at least."""
         held_bytes = len(self.pending) + self.response_bytes + self.unread_bytes
+        if self.is_reading_paused:
+            held_bytes += KERNEL_BYTES
         if self.is_serving and self.body is not None:
             held_bytes += BODY_COPIES * self.body.total_bytes
         return held_bytes + self.received.held_bytes(self.is_serving)
