Accept few connections in one turn of the event loop

2,500 clients that connected at once took 2,047 descriptors of a gateway whose callers may have 1,435 of 4,100. Cause: the loop accepts up to 1,024 connections in one turn, and makes them, or closes those that are too many, in a later one. The listening socket now hands out 32 in a turn.

--- a/verbenagrade/transport/clients/listeners.py
+++ b/verbenagrade/transport/clients/listeners.py
@@ -44,6 +44,9 @@
 BACKLOG = 1024
 """Connections that the kernel holds until they are accepted."""
 
+ACCEPTED_PER_TURN = 32
+"""Connections that are accepted in one turn of the event loop."""
+
 
 class ClientAppRunner(web.AppRunner):
     """Runs an application whose connections are limited as those of any client.
@@ -92,12 +95,38 @@
     return limits_of_listeners(ProcessLimits(memory_bytes, available_descriptors()))
 
 
-def open_listener(ip: str, port: int) -> socket.socket:
+class ListeningSocket(socket.socket):
+    """A socket that lets the event loop accept few connections in one turn.
+
+    The loop accepts as many as the kernel holds before it makes a connection of the
+    first, and so before too many can be closed.
+    """
+
+    accepted = 0
+
+    def accept(self) -> tuple[socket.socket, object]:
+        """Accepts a connection.
+
+        Raises ``BlockingIOError`` without one, and once after some in a row.
+        """
+        if self.accepted >= ACCEPTED_PER_TURN:
+            self.accepted = 0
+            raise BlockingIOError
+        try:
+            connection = super().accept()
+        except OSError:
+            self.accepted = 0
+            raise
+        self.accepted += 1
+        return connection
+
+
+def open_listener(ip: str, port: int) -> ListeningSocket:
     """Returns a socket bound to an address, with limited buffers of the kernel.
 
     Raises ``OSError`` if another process uses the port.
     """
-    listener = socket.socket()
+    listener = ListeningSocket()
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
