Count trailers of a body, and drop those of a request that is refused

500 clients that sent small trailers without end made a gateway with 150 MB take 278 MB: the parser keeps trailers as it does fields, at some 150 bytes each, and they counted as nothing.

Both tests with small trailers and the parser in C failed before.

--- a/verbenagrade/platform/tests/crowds/requests.py
+++ b/verbenagrade/platform/tests/crowds/requests.py
@@ -73,10 +73,10 @@
     yield from repeated(b"x")
 
 
-def trailers() -> Iterator[bytes]:
+def trailers(line: bytes = b"Extra: " + b"y" * 1_000 + b"\r\n") -> Iterator[bytes]:
     """Yields a body in chunks, after which trailers do not end."""
     yield head("Transfer-Encoding: chunked") + b"1\r\nx\r\n0\r\n"
-    yield from repeated(b"Extra: " + b"y" * 1_000 + b"\r\n")
+    yield from repeated(line)
 
 
 def partial_head(fields: int) -> Iterator[bytes]:
--- a/verbenagrade/platform/tests/crowds/test_callers.py
+++ b/verbenagrade/platform/tests/crowds/test_callers.py
@@ -40,6 +40,7 @@
     "request line without end": lambda _: requests.endless_line(),
     "empty lines without end": lambda _: requests.repeated(b"\r\n"),
     "trailers without end": lambda _: requests.trailers(),
+    "small trailers without end": lambda _: requests.trailers(b"a: b\r\n"),
     "bytes that are no request": lambda _: requests.repeated(b"\x16\x03\x01\n"),
     "bytes after an upgrade": lambda _: requests.after_upgrade(),
     "bytes after CONNECT": lambda _: requests.after_connect(),
@@ -68,6 +69,7 @@
         "bodies in one chunk that stop short",
         "calls with bodies sent ahead",
         "fields without end",
+        "small trailers without end",
     ],
 )
 async def test_many_clients_leave_room_for_an_ordinary_call(gateway, crowd_at, name):
--- a/verbenagrade/state/request_input.py
+++ b/verbenagrade/state/request_input.py
@@ -38,7 +38,7 @@
         self.piece_bytes = self.piece_lines = 0
         self.head_bytes = self.head_lines = 0
         self.request_bytes = 0
-        self.overhead_bytes = 0
+        self.overhead_bytes = self.overhead_lines = 0
         self.is_chunked = False
         self.has_rest = False
         self.rest_may_be_head = True
@@ -62,7 +62,8 @@
     def begin_request(self, fields: int, is_chunked: bool) -> None:
         """Notes that a head is complete, which has so many fields."""
         self.request_bytes = self.head_bytes + fields * FIELD_BYTES
-        self.head_bytes = self.head_lines = self.overhead_bytes = 0
+        self.head_bytes = self.head_lines = 0
+        self.overhead_bytes = self.overhead_lines = 0
         self.is_chunked = is_chunked
 
     def end_request(self) -> None:
@@ -98,11 +99,18 @@
 
         Returns whether too much has arrived since it grew.
         """
-        self.overhead_bytes = 0 if grown else self.overhead_bytes + self.piece_bytes
+        if grown:
+            self.overhead_bytes = self.overhead_lines = 0
+        else:
+            self.overhead_bytes += self.piece_bytes
+            self.overhead_lines += self.piece_lines
         return self.overhead_bytes > MAX_OVERHEAD_BYTES
 
     def held_bytes(self, is_serving: bool) -> int:
         """Returns the memory that the request or the arriving head takes, in bytes."""
         if is_serving:
-            return self.request_bytes + self.piece_lines * LINE_BYTES
+            # The lines may be trailers, which the parser keeps as it does fields.
+            overhead_bytes = self.overhead_bytes + self.overhead_lines * FIELD_BYTES
+            piece_bytes = self.piece_lines * LINE_BYTES
+            return self.request_bytes + overhead_bytes + piece_bytes
         return self.head_bytes + self.head_lines * FIELD_BYTES
--- a/verbenagrade/transport/clients/connections.py
+++ b/verbenagrade/transport/clients/connections.py
@@ -81,6 +81,12 @@
     def data_received(self, data: bytes) -> None:
         """Does nothing: what the parser holds is parsed when it is its turn."""
 
+    def stop_receiving(self) -> None:
+        """Discards what arrives, and the fields and trailers that the parser keeps."""
+        super().stop_receiving()
+        if self._parser is not None:
+            self._parser = parsing.make_parser(self, self._loop)
+
     def update_reading(self) -> None:
         """Reads from the connection unless enough is pending."""
         if self.transport is None:
@@ -215,8 +221,6 @@
         self.leave(GiveUpReason.HEAD_SIZE)
         self.stop_receiving()
         self.stop_timer()
-        # The parser keeps all fields that it has read.
-        self._parser = parsing.make_parser(self, self._loop)
         self.transport.write(TOO_LARGE_RESPONSE)
         self._loop.call_later(LINGER_S, self.force_close)
 
