Handle as many messages of an instance at once as it may have requests

A reservation may wait until others of its budget are released. The limit is 2,500 now, more than the requests that a router serves by default; what the messages hold is bounded by the account. Found by reading; no test provokes the wait. The tests of the transport, of budget failures and of crowds at routers (parser in C) pass.

--- a/verbenagrade/transport/peer_server.py
+++ b/verbenagrade/transport/peer_server.py
@@ -42,8 +42,9 @@
 MAX_INSTANCES = 10_000
 """Instances that may be known. Whoever connects can name one."""
 
-MAX_MESSAGES = 64
-"""Messages of one connection that are handled at once."""
+MAX_MESSAGES = 2_500
+"""Messages of one connection that are handled at once. A reservation may wait for a
+settlement that comes after it, and a router serves 2,000 requests by default."""
 
 MessageHandler = Callable[[Message], Awaitable[Reply]]
 
