Check at once again that no body is held after the last response

test_large_bodies had got a wait in place of the check that no body counts as soon as all calls have ended. Both stand now: at once no connection holds more than an idle one, and then none is left.

--- a/verbenagrade/platform/tests/crowds/test_single_requests.py
+++ b/verbenagrade/platform/tests/crowds/test_single_requests.py
@@ -52,6 +52,7 @@
     "chunk extensions": lambda: (
         requests.head("Transfer-Encoding: chunked") + b"1;name=value\r\nx\r\n0\r\n\r\n"
     ),
+    "Expect": lambda: requests.head("Expect: 100-continue", "Content-Length: 1") + b"x",
     "head in lower case": lambda: requests.head("content-length: 1") + b"x",
 }
 
--- a/verbenagrade/platform/tests/test_large_bodies.py
+++ b/verbenagrade/platform/tests/test_large_bodies.py
@@ -67,7 +67,11 @@
     assert set(statuses) <= {200, 503}
     assert 0 < sent == statuses.count(200)
     assert peak_bytes <= MAX_MEMORY_BYTES
-    await flooded.wait_until(lambda: flooded.core.clients.account.held_bytes == 0)
+    account = flooded.core.clients.account
+    least = account.listeners["callers"].limits.connection_bytes
+    records = account.listeners["callers"].records
+    assert all(record.held_bytes == least for record in records)
+    await flooded.wait_until(lambda: account.held_bytes == 0)
 
 
 async def test_body_larger_than_the_limit_is_refused_from_its_announced_size(flooded):
