Count what endpoints have sent and callers do not take

Clients that read no response made a gateway with 150 MB take 167 MB (1,400 clients, ten calls of 4 MB sent ahead each), or 183 MB (150 of them beside 150 bodies that stop short and 150 at the port for other VMs). 120 took 111 to 132 MB of 110.

Cause: 435 KB a call, of which the account counted 80. The event loop reads 256 KB at once from an endpoint, so that the library's buffer, the bytes read last and their copy held what the kernel's buffer had held, each, besides the 95 KB there. The library waits for the caller only once in 64 KB.

16 KB are read at once, the library keeps 8 to 16 KB and the kernel half of what it did; a response that has begun is passed on without another copy, and each part waits for the caller. What is held of a response that is not taken counts, so that those that take nothing for longest give way.

--- a/verbenagrade/transport/clients/connections.py
+++ b/verbenagrade/transport/clients/connections.py
@@ -259,7 +259,7 @@
 
     def _end_request(self) -> None:
         self.is_serving = self.is_refused = False
-        self.response_bytes = 0
+        self.response_bytes = self.source_bytes = 0
         self.received.end_request()
         if not self.pending:
             self.work_s = 0.0
--- a/verbenagrade/transport/clients/counting.py
+++ b/verbenagrade/transport/clients/counting.py
@@ -36,8 +36,9 @@
     ``pending`` was received and not given to the parser. ``body`` is that of the last
     request, and ``is_serving`` is set from the end of its head to the end of its
     response. While ``is_reading_paused``, the kernel keeps what arrives. While
-    ``is_discarding``, nothing more is parsed. A request that found no
-    room ``is_refused``.
+    ``is_discarding``, nothing more is parsed. A request that found no room
+    ``is_refused``. ``source_bytes`` is what is held of a response that has not been
+    written because its client takes nothing.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
         self.is_serving = self.is_discarding = self.is_refused = False
         self.pending = b""
         self.body: asyncio.StreamReader | None = None
-        self.response_bytes = self.unread_bytes = 0
+        self.response_bytes = self.unread_bytes = self.source_bytes = 0
         self.stall_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -136,6 +137,8 @@
         held_bytes = len(self.pending) + self.response_bytes + self.unread_bytes
         if self.is_reading_paused:
             held_bytes += KERNEL_BYTES
+        if self.record.activity is Activity.UNREAD:
+            held_bytes += self.source_bytes
         if self.is_serving and self.body is not None:
             held_bytes += BODY_COPIES * self.body.total_bytes
         return held_bytes + self.received.held_bytes(self.is_serving)
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
 
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
@@ -17,7 +18,7 @@
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import record_survival
 from verbenagrade.transport.gateway.handover import may_be_handed_over
-from verbenagrade.transport.gateway.upstream import UpstreamResponse
+from verbenagrade.transport.gateway.upstream import UNTAKEN_BYTES, UpstreamResponse
 from verbenagrade.transport.gateway.versions import confirm_version
 
 __all__ = ["ResponseWriter", "deliver_plain", "deliver_stream"]
@@ -57,6 +58,7 @@
         self.request = request
         self.call = call
         self.response: web.StreamResponse | None = None
+        self.payload_writer: AbstractStreamWriter | None = None
         self.media_type = ""
         self.has_partial_body = False
 
@@ -78,9 +80,12 @@
             response.content_length = content_length
             self.response = response
             self.media_type = upstream.media_type
-            await response.prepare(self.request)
+            self.request.protocol.source_bytes = UNTAKEN_BYTES
+            self.payload_writer = await response.prepare(self.request)
         for start in range(0, len(data), SLICE_BYTES):
             await self.response.write(data[start : start + SLICE_BYTES])
+            # The library waits for the caller only once in 64 KiB.
+            await self.payload_writer.drain()
 
     def may_keep(self, size_bytes: int) -> bool:
         """Returns whether so much of a response may be kept before it is passed on."""
@@ -141,8 +146,11 @@
     body = bytearray()
     on_data()
     while data := await upstream.read_chunk(_remaining_s(core, call)):
+        if writer.response is not None:
+            await writer.write(upstream, data)
+            continue
         body += data
-        if writer.response is not None or not writer.may_keep(len(body)):
+        if not writer.may_keep(len(body)):
             writer.has_partial_body = True
             part, body = bytes(body), bytearray()
             await writer.write(upstream, part)
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -44,6 +44,7 @@
     send_to_endpoint,
 )
 from verbenagrade.transport.gateway.stopping import until_sent
+from verbenagrade.transport.gateway.upstream import UNTAKEN_BYTES
 from verbenagrade.transport.response_ends import ended_with_reset, read_framing
 from verbenagrade.transport.sends import SentRequest
 
@@ -160,6 +161,7 @@
     async with _open(core, relayed, entry, body, sent) as upstream:
         response = _response_to_vm(core, relayed, entry, upstream)
         _log(core, relayed, RelayResult.SENT, "")
+        request.protocol.source_bytes = UNTAKEN_BYTES
         await response.prepare(request)
         events = EventCounter()
         try:
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -39,13 +39,22 @@
 from verbenagrade.transport.response_ends import ended_with_reset, read_framing
 from verbenagrade.transport.sends import SingleSendConnector
 
-__all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
+__all__ = ["UNTAKEN_BYTES", "UpstreamResponse", "endpoint_session", "open_upstream"]
 
 
-READ_BUFFER_BYTES = 16_384
-RECEIVE_BUFFER_BYTES = 65_536
-"""What the process and the kernel hold of a response that its caller does not take, in
-bytes; each takes up to twice as much."""
+READ_BUFFER_BYTES = 8_192
+"""Bytes of a response in the library's buffer above half of which no more are read."""
+
+MAX_READ_BYTES = 2 * READ_BUFFER_BYTES
+"""Bytes that are read from a connection at once."""
+
+RECEIVE_BUFFER_BYTES = 32_768
+"""The kernel's buffer for a connection, in bytes, of which Linux takes twice as much.
+It limits how fast a large response comes from another region."""
+
+UNTAKEN_BYTES = 2 * RECEIVE_BUFFER_BYTES + 2 * (2 * READ_BUFFER_BYTES + MAX_READ_BYTES)
+"""What the kernel and the process hold of a response whose caller takes nothing, in
+bytes: the kernel's buffer, the library's, and what was read last."""
 
 UNKNOWN_MEDIA_TYPE = "application/octet-stream"
 """What the HTTP library of a VM that passes a response on adds if it has no type."""
@@ -54,7 +63,10 @@
 def endpoint_session() -> aiohttp.ClientSession:
     """Returns a session without keep-alive, cookies or decompression."""
     connector = SingleSendConnector(
-        limit=0, force_close=True, socket_factory=open_endpoint_socket
+        limit=0,
+        force_close=True,
+        socket_factory=open_endpoint_socket,
+        max_read_bytes=MAX_READ_BYTES,
     )
     return aiohttp.ClientSession(
         connector=connector,
--- a/verbenagrade/transport/sends.py
+++ b/verbenagrade/transport/sends.py
@@ -53,8 +53,15 @@
 
     A response releases its connection with the last byte, so the future for the
     end of the connection has to be obtained when the connection is opened.
+
+    ``max_read_bytes`` is the most that is read from a connection at once, 0 for what
+    the event loop reads by default. Further options are those of the library.
     """
 
+    def __init__(self, max_read_bytes: int = 0, **options: object) -> None:
+        super().__init__(**options)
+        self.max_read_bytes = max_read_bytes
+
     async def connect(
         self,
         req: aiohttp.ClientRequest,
@@ -71,6 +78,8 @@
                 "the connection closed without a response; the request may have run"
             )
         connection = await super().connect(req, traces, timeout)
+        if self.max_read_bytes:
+            connection.transport.max_size = self.max_read_bytes
         if sent is None:
             return connection
         sent.connections += 1
