--- a/verbenagrade/transport/clients/tests/test_connections.py
+++ b/verbenagrade/transport/clients/tests/test_connections.py
@@ -19,6 +19,11 @@
 LIMITS = CallerLimits(header_timeout_s=0.5, idle_timeout_s=1.0)
 WAIT_S = 10.0
 POLL_S = 0.02
+LARGE_PATH = "/999"
+LARGE_BYTES = 2_000_000
+SOURCE_BYTES = 5_000_000
+"""What is held of a large response beside what waits to be written, in bytes."""
+
 HEAD = b"POST /%d HTTP/1.1\r\nHost: x\r\n"
 
 
@@ -41,6 +46,9 @@
     async def handle(request):
         await release.wait()
         body = await request.read()
+        if request.path == LARGE_PATH:
+            request.protocol.source_bytes = SOURCE_BYTES
+            return web.Response(body=b"x" * LARGE_BYTES)
         return web.Response(text=f"{request.path} {len(body)}")
 
     options = ListenerOptions(Listener.CALLERS, lambda: LIMITS)
@@ -129,6 +137,19 @@
     writer.close()
 
 
+async def test_source_of_a_response_counts_while_the_response_is_not_taken(server):
+    reader, writer = await server.connect()
+    writer.write(request(999))
+    await wait_until(lambda: server.account.held_bytes > SOURCE_BYTES)
+    (record,) = server.account.listeners["callers"].records
+    assert record.activity is Activity.UNREAD
+    async with asyncio.timeout(WAIT_S):
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(LARGE_BYTES)
+    await wait_until(lambda: record.held_bytes == 16_000)
+    writer.close()
+
+
 async def test_connection_holds_nothing_after_its_request(server):
     reader, writer = await server.connect()
     for number in range(3):
