Pass large responses of services on as the callers of a router take them

60 clients that read no response of a plain service, 4 MB each, made a router take 540 MB of the 128 that an instance may take.

Cause: a router read each response to its end before it passed any of it on, so that it held 4 MB for each call, and once more what the kernel did not take. Clients that take nothing give way only after 2 s, and nothing was asked before the response was read.

A response of more than 64 KB is now kept only while half of the memory for clients is left. Otherwise it is passed on in parts, each when the caller has taken the last. It breaks off with a reset if it turns out to be incomplete; if the caller leaves, the rest is read and the call charged as before. As for gateways, little is read from an endpoint at once; both use one connector now, which only moved.

--- a/verbenagrade/platform/tests/crowds/processes.py
+++ b/verbenagrade/platform/tests/crowds/processes.py
@@ -91,10 +91,21 @@
         return await asyncio.to_thread(self.process.wait)
 
 
+class StartedProcess:
+    """A process that a test has started by other means."""
+
+    def __init__(self, process: subprocess.Popen) -> None:
+        self.process = process
+
+    @property
+    def lives(self) -> bool:
+        return self.process.poll() is None
+
+
 class Observer:
     """Records the highest memory and number of descriptors of a process."""
 
-    def __init__(self, process: Process) -> None:
+    def __init__(self, process: "Process | StartedProcess") -> None:
         self.process = process
         self.memory_bytes = 0
         self.descriptors = 0
--- a/verbenagrade/tests/standins/service.py
+++ b/verbenagrade/tests/standins/service.py
@@ -5,6 +5,8 @@
 - ``slow_s``: seconds that a call takes.
 - ``drop_responses``: drop the connections of this many calls after they ran,
   so that their responses are lost.
+- ``response_bytes``: size of the response to each call, 0 for a short one.
+- ``break_after``: bytes of such a response after which it breaks off, 0 for none.
 """
 
 import asyncio
@@ -19,6 +21,8 @@
 
     slow_s: float = 0.0
     drop_responses: int = 0
+    response_bytes: int = 0
+    break_after: int = 0
 
 
 class ServiceStandIn:
@@ -42,8 +46,20 @@
         if self.switches.drop_responses > 0:
             self.switches.drop_responses -= 1
             request.transport.close()
+        if self.switches.response_bytes:
+            return await self._respond_large(request)
         return web.json_response({"confirmed": len(self.calls)})
 
+    async def _respond_large(self, request):
+        switches = self.switches
+        response = web.StreamResponse()
+        response.content_length = switches.response_bytes
+        await response.prepare(request)
+        await response.write(b"x" * (switches.break_after or switches.response_bytes))
+        if switches.break_after:
+            request.transport.close()
+        return response
+
     async def _list_calls(self, _request):
         return web.json_response(self.calls)
 
--- a/verbenagrade/transport/caller_api.py
+++ b/verbenagrade/transport/caller_api.py
@@ -124,6 +124,7 @@
         path = request.match_info["path"]
         query = request.query_string
         call = ServiceCall(
+            request=request,
             route=request.match_info["route"],
             method=request.method,
             path=f"{path}?{query}" if query else path,
--- a/verbenagrade/transport/connections.py
+++ b/verbenagrade/transport/connections.py
@@ -6,17 +6,21 @@
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.membership import Members
 from verbenagrade.transport.endpoint_client import EndpointClient
+from verbenagrade.transport.endpoint_connections import endpoint_connector
 from verbenagrade.transport.peer_client import PeerClient
 from verbenagrade.transport.platform import (
     object_store_port,
     table_port,
     vm_list_port,
 )
-from verbenagrade.transport.sends import SingleSendConnector
 
 __all__ = ["Connections"]
 
 
+STREAM_BUFFER_BYTES = 65_536
+"""The library's buffer for a response, in bytes. An event may be twice as long."""
+
+
 class Connections:
     """Clients for the platform, the endpoints and other instances.
 
@@ -32,7 +36,7 @@
             connector=aiohttp.TCPConnector(local_addr=(settings.address, 0))
         )
         self.endpoint_session = aiohttp.ClientSession(
-            connector=SingleSendConnector(limit=0, force_close=True)
+            connector=endpoint_connector(), read_bufsize=STREAM_BUFFER_BYTES
         )
         self.table = table_port(self.platform_session, settings.platform)
         self.objects = object_store_port(self.platform_session, settings.platform)
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -88,14 +88,13 @@
                 f"{url}: {type(error).__name__}; ask for the outcome before a retry"
             ) from error
 
-    async def read_body(
+    async def check_end(
         self, response: aiohttp.ClientResponse, sent: SentRequest
-    ) -> bytes:
-        """Returns the complete body of a response to the attempt ``sent``.
+    ) -> None:
+        """Raises ``UpstreamFailedError`` if nothing shows that a response is complete.
 
-        Raises ``UpstreamFailedError`` if nothing shows that it is complete.
+        It is that to the attempt ``sent``, whose body was read to its end.
         """
-        body = await response.read()
         end = ResponseEnd(read_framing(response), ended_with_reset(sent.closed))
         verdict = judge_end(end)
         if verdict is EndVerdict.ENDPOINT_UNKNOWN:
@@ -107,7 +106,6 @@
             raise UpstreamFailedError(
                 f"{response.url}: {verdict}; ask for the outcome before a retry"
             )
-        return body
 
     async def close(self, base: str, attempt: str) -> EngineRecord | None:
         """Stops an attempt or prevents it from starting, and returns its token counts.
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -1,8 +1,5 @@
 """Passes the bytes of an endpoint's response on to the caller unchanged."""
 
-import asyncio
-import socket
-import struct
 from collections.abc import Callable
 
 from aiohttp import web
@@ -14,12 +11,14 @@
 from verbenagrade.state.calls import CallKind
 from verbenagrade.state.crash_suspects import MIN_SURVIVED_EVENTS
 from verbenagrade.state.retries import next_event_timeout_s
+from verbenagrade.transport.endpoint_connections import UNTAKEN_BYTES
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import record_survival
 from verbenagrade.transport.gateway.handover import may_be_handed_over
-from verbenagrade.transport.gateway.upstream import UNTAKEN_BYTES, UpstreamResponse
+from verbenagrade.transport.gateway.upstream import UpstreamResponse
 from verbenagrade.transport.gateway.versions import confirm_version
+from verbenagrade.transport.response_ends import reset_connection
 
 __all__ = ["ResponseWriter", "deliver_plain", "deliver_stream"]
 
@@ -40,9 +39,6 @@
 """Size of the parts in which a response is written, in bytes. The next one is written
 once the caller has taken most of the last."""
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER``: linger for 0 s, which sends a reset."""
-
 
 class ResponseWriter:
     """Writes the response to the caller.
@@ -120,15 +116,7 @@
         if "Transfer-Encoding" in self.response.headers:
             transport.close()
         else:
-            _reset(transport)
-
-
-def _reset(transport: asyncio.Transport) -> None:
-    """Resets a connection, whose orderly close would look like the end of a body."""
-    connection = transport.get_extra_info("socket")
-    if connection is not None:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    transport.abort()
+            reset_connection(transport)
 
 
 async def deliver_plain(
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -28,6 +28,7 @@
 from verbenagrade.state.calls import CallHead
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.response_end import Framing, ResponseEnd
+from verbenagrade.transport.endpoint_connections import UNTAKEN_BYTES
 from verbenagrade.transport.gateway.admission import (
     RefusedError,
     check_load,
@@ -44,7 +45,6 @@
     send_to_endpoint,
 )
 from verbenagrade.transport.gateway.stopping import until_sent
-from verbenagrade.transport.gateway.upstream import UNTAKEN_BYTES
 from verbenagrade.transport.response_ends import ended_with_reset, read_framing
 from verbenagrade.transport.sends import SentRequest
 
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -26,6 +25,10 @@
 )
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.response_end import Framing, ResponseEnd
+from verbenagrade.transport.endpoint_connections import (
+    READ_BUFFER_BYTES,
+    endpoint_connector,
+)
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.handover import hand_over
@@ -37,24 +40,8 @@
     send_to_endpoint,
 )
 from verbenagrade.transport.response_ends import ended_with_reset, read_framing
-from verbenagrade.transport.sends import SingleSendConnector
-
-__all__ = ["UNTAKEN_BYTES", "UpstreamResponse", "endpoint_session", "open_upstream"]
-
-
-READ_BUFFER_BYTES = 8_192
-"""Bytes of a response in the library's buffer above half of which no more are read."""
-
-MAX_READ_BYTES = 2 * READ_BUFFER_BYTES
-"""Bytes that are read from a connection at once."""
 
-RECEIVE_BUFFER_BYTES = 32_768
-"""The kernel's buffer for a connection, in bytes, of which Linux takes twice as much.
-It limits how fast a large response comes from another region."""
-
-UNTAKEN_BYTES = 2 * RECEIVE_BUFFER_BYTES + 2 * (2 * READ_BUFFER_BYTES + MAX_READ_BYTES)
-"""What the kernel and the process hold of a response whose caller takes nothing, in
-bytes: the kernel's buffer, the library's, and what was read last."""
+__all__ = ["UpstreamResponse", "endpoint_session", "open_upstream"]
 
 UNKNOWN_MEDIA_TYPE = "application/octet-stream"
 """What the HTTP library of a VM that passes a response on adds if it has no type."""
@@ -62,28 +49,14 @@
 
 def endpoint_session() -> aiohttp.ClientSession:
     """Returns a session without keep-alive, cookies or decompression."""
-    connector = SingleSendConnector(
-        limit=0,
-        force_close=True,
-        socket_factory=open_endpoint_socket,
-        max_read_bytes=MAX_READ_BYTES,
-    )
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=endpoint_connector(),
         read_bufsize=READ_BUFFER_BYTES,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
 
 
-def open_endpoint_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-    """Opens a socket that receives little more than its caller takes."""
-    family, kind, protocol, _, _ = address
-    opened = socket.socket(family, kind, protocol)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    return opened
-
-
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One attempt of a call at an endpoint."""
--- a/verbenagrade/transport/response_ends.py
+++ b/verbenagrade/transport/response_ends.py
@@ -1,15 +1,26 @@
 """What a response and its connection show of the end of the body."""
 
 import asyncio
+import socket
+import struct
 
 import aiohttp
 
 from verbenagrade.state.response_end import Framing
 
-__all__ = ["ended_with_reset", "fail_body_at_close", "read_framing", "try_connection"]
+__all__ = [
+    "ended_with_reset",
+    "fail_body_at_close",
+    "read_framing",
+    "reset_connection",
+    "try_connection",
+]
 
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER``: linger for 0 s, which sends a reset."""
+
 
 def read_framing(response: aiohttp.ClientResponse) -> Framing:
     """Returns what shows the end of the body of a response."""
@@ -48,6 +59,14 @@
         closed.add_done_callback(fail)
 
 
+def reset_connection(transport: asyncio.Transport) -> None:
+    """Resets a connection, whose orderly close would look like the end of a body."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 async def try_connection(host: str, port: int, timeout_s: float) -> Exception | None:
     """Opens and closes a connection; returns the error if that fails."""
     try:
--- a/verbenagrade/transport/router.py
+++ b/verbenagrade/transport/router.py
@@ -158,6 +158,7 @@
             self.catalogue,
             self.table,
             self.background,
+            timing.progress_s,
         )
         return CallerApi(
             chat,
--- a/verbenagrade/transport/services.py
+++ b/verbenagrade/transport/services.py
@@ -34,17 +34,21 @@
 from verbenagrade.transport.endpoint_client import EndpointClient
 from verbenagrade.transport.requests import Caller
 from verbenagrade.transport.sends import SentRequest
+from verbenagrade.transport.service_response import (
+    MAX_STORED_RESPONSE_BYTES,
+    ServiceResponse,
+)
 
 __all__ = ["ServiceCall", "ServiceProxy"]
 
 REQUEST_ID_HEADER = "Verbenagrade-Request"
-MAX_STORED_RESPONSE_BYTES = 65_536
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
     """A request to a plain service."""
 
+    request: web.Request
     route: str
     method: str
     path: str
@@ -53,7 +57,10 @@
 
 
 class ServiceProxy:
-    """Forwards calls of one router to plain services."""
+    """Forwards calls of one router to plain services.
+
+    ``progress_s`` is the longest time, in seconds, that a write to a caller may take.
+    """
 
     def __init__(
         self,
@@ -62,14 +69,16 @@
         catalogue: Catalogue,
         table: Table,
         background: BackgroundTasks,
+        progress_s: float,
     ) -> None:
+        self.progress_s = progress_s
         self.admission_controller = admission_controller
         self.client = client
         self.catalogue = catalogue
         self.table = table
         self.background = background
 
-    async def serve(self, caller: Caller, call: ServiceCall) -> web.Response:
+    async def serve(self, caller: Caller, call: ServiceCall) -> web.StreamResponse:
         """Forwards a call to an endpoint of its route.
 
         A call that is not idempotent runs at most once, also if the caller retries
@@ -116,7 +125,7 @@
         call: ServiceCall,
         admission: Admission,
         outcome: RequestOutcome,
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         if caller.idempotent or not caller.key:
             return await self._run(call, admission, outcome)
         key = claim_key(caller.workspace_name, caller.key)
@@ -154,16 +163,19 @@
 
     async def _run(
         self, call: ServiceCall, admission: Admission, outcome: RequestOutcome
-    ) -> web.Response:
+    ) -> web.StreamResponse:
         outcome.advance("send")
         url = f"{admission.endpoint.url}/{call.path}"
         attempt = admission.reserved.attempt
         sent = SentRequest()
+        headers = {REQUEST_ID_HEADER: admission.admission_request.request}
+        response = ServiceResponse(call.request, headers, self.progress_s)
         try:
             async with self.client.send(
                 call.method, url, call.body, attempt, call.content_type, sent
             ) as upstream:
-                body = await self.client.read_body(upstream, sent)
+                await response.receive(upstream)
+                await self.client.check_end(upstream, sent)
         except UpstreamUnreachableError:
             raise
         except Exception as error:
@@ -174,17 +186,15 @@
                 endpoint=admission.endpoint.name,
             )
             self.admission_controller.finish(admission, AttemptUsage(0, 0, "broken"))
-            raise error
+            if response.response is None:
+                raise error
+            response.abort()
+            return response.response
         self.admission_controller.finish(
             admission, AttemptUsage(admission.reserved.tokens, 0, "answered")
         )
         outcome.advance("answer")
-        return web.Response(
-            status=upstream.status,
-            body=body,
-            content_type=upstream.content_type,
-            headers={REQUEST_ID_HEADER: admission.admission_request.request},
-        )
+        return await response.finish(upstream)
 
     def _store_claim(self, key: str, completed_claim: Claim) -> None:
         self.background.retry_until_done(
@@ -197,7 +207,10 @@
     return hashlib.sha256(text + call.body).hexdigest()
 
 
-def _completed_claim(own_claim: Claim, response: web.Response) -> Claim:
+def _completed_claim(own_claim: Claim, response: web.StreamResponse) -> Claim:
+    if not isinstance(response, web.Response):
+        # Too large to be kept, it was passed on as it arrived.
+        return replace(own_claim, state=ClaimState.UNKNOWN, status=response.status)
     body = bytes(response.body or b"")
     if len(body) > MAX_STORED_RESPONSE_BYTES:
         return replace(own_claim, state=ClaimState.UNKNOWN, status=response.status)
--- a/verbenagrade/transport/tests/test_endpoint_client.py
+++ b/verbenagrade/transport/tests/test_endpoint_client.py
@@ -38,7 +38,9 @@
     async with server, aiohttp.ClientSession(connector=connector) as session:
         client = EndpointClient(session, TIMEOUT_S, TIMEOUT_S)
         async with client.send("GET", url, None, "attempt", sent=sent) as upstream:
-            return await client.read_body(upstream, sent)
+            body = await upstream.read()
+            await client.check_end(upstream, sent)
+            return body
 
 
 # Guards against a half body being told, and stored for retries, as a complete one.
