Give each gateway of the tests of crowds an address of its own

At 127.0.0.1 an outgoing connection of any process may take a port between the time at which the test finds it free and that at which the gateway listens: binding it then fails with "Address already in use", shown by hand, and does not at another address of the loopback network. Whether that was the failure is only suspected, as its output was not printed.

Crowds, bounds and checks are the same.

--- a/verbenagrade/platform/tests/crowds/gateway.py
+++ b/verbenagrade/platform/tests/crowds/gateway.py
@@ -20,6 +20,7 @@
     Observer,
     Process,
     free_port,
+    own_host,
 )
 from verbenagrade.platform.tests.endpoint_standin import EndpointStandIn
 from verbenagrade.platform.tests.store_standin import StoreStandIn
@@ -53,6 +54,7 @@
         self.memory_mb = memory_mb
         self.store = StoreStandIn()
         self.endpoint = EndpointStandIn("i-0")
+        self.host = own_host()
         self.ports = {}
         self.process: Process | None = None
         self.observer: Observer | None = None
@@ -70,7 +72,7 @@
         if configured:
             self.configure()
         names = ("callers", "ready", "metrics", "relay", "reservations")
-        self.ports = {name: free_port() for name in names}
+        self.ports = {name: free_port(self.host) for name in names}
         settings = self.folder / "gateway.json5"
         settings.write_text(json.dumps(self._settings()))
         module = "verbenagrade.commands.gateway"
@@ -104,7 +106,7 @@
         await self.store.stop()
 
     def address(self, listener="callers") -> tuple[str, int]:
-        return "127.0.0.1", self.ports[listener]
+        return self.host, self.ports[listener]
 
     async def call(self, path="/safe/x", body=b"hello", **headers) -> int:
         """Makes a call as an ordinary caller, which comes back after a refusal."""
@@ -126,7 +128,7 @@
             "Authorization": f"Bearer {API_KEY}",
             **headers,
         }
-        url = f"http://127.0.0.1:{self.ports['callers']}{path}"
+        url = f"http://{self.host}:{self.ports['callers']}{path}"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         async with self.session.post(
             url, headers=own, data=body, timeout=timeout
@@ -136,7 +138,7 @@
 
     async def get(self, listener) -> int:
         """Asks the readiness check or for the metrics, as often as it takes."""
-        url = f"http://127.0.0.1:{self.ports[listener]}/"
+        url = f"http://{self.host}:{self.ports[listener]}/"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         for _ in range(RETRIES):
             with contextlib.suppress(aiohttp.ClientError, ConnectionError):
@@ -152,7 +154,7 @@
 
         Fails if what clients hold does not change any more before that.
         """
-        url = f"http://127.0.0.1:{self.ports['metrics']}/"
+        url = f"http://{self.host}:{self.ports['metrics']}/"
         unchanged, known = 0, None
         while unchanged < RETRIES:
             async with self.session.get(url) as response:
@@ -198,17 +200,17 @@
                 return
 
     def _settings(self) -> dict:
-        ports = self.ports
+        host, ports = self.host, self.ports
         return {
             "vm": f"front-{os.getpid()}",
             "data_centre": "muscat-a",
             "regions": {"muscat-a": "muscat"},
             "listen": {
-                "callers": f"127.0.0.1:{ports['callers']}",
-                "ready": f"127.0.0.1:{ports['ready']}",
-                "metrics_ip": "127.0.0.1",
+                "callers": f"{host}:{ports['callers']}",
+                "ready": f"{host}:{ports['ready']}",
+                "metrics_ip": host,
                 "metrics_port": ports["metrics"],
-                "relay_ip": "127.0.0.1",
+                "relay_ip": host,
                 "relay_port": ports["relay"],
                 "reservation_ports": [ports["reservations"]] * 2,
             },
--- a/verbenagrade/platform/tests/crowds/processes.py
+++ b/verbenagrade/platform/tests/crowds/processes.py
@@ -1,6 +1,7 @@
 """Runs a program as a process and reads its memory and descriptors from /proc."""
 
 import asyncio
+import itertools
 import os
 import resource
 import signal
@@ -19,7 +20,19 @@
 in."""
 
 
-def free_port(ip: str = "127.0.0.1") -> int:
+_hosts = itertools.count(1)
+
+
+def own_host() -> str:
+    """Returns an address of this machine on which no other test opens ports.
+
+    At 127.0.0.1 any outgoing connection may take a port that was free.
+    """
+    network = f"127.{60 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
+    return f"{network}.{next(_hosts) % 250 + 1}"
+
+
+def free_port(ip: str) -> int:
     """Returns a port on which nothing listens."""
     with socket.socket() as listener:
         listener.bind((ip, 0))
--- a/verbenagrade/platform/tests/crowds/test_routers.py
+++ b/verbenagrade/platform/tests/crowds/test_routers.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
-import os
 import struct
 from pathlib import Path
 
@@ -18,6 +16,7 @@
     Observer,
     Process,
     free_port,
+    own_host,
 )
 
 CLIENTS = 60
@@ -30,7 +29,6 @@
 BODY_BYTES = 1_000_000
 FRAME_BYTES = 16_000_000
 TRIES = 200
-_hosts = itertools.count(1)
 
 
 class InstanceUnderTest:
@@ -39,8 +37,7 @@
     def __init__(self, folder: Path, parser: str) -> None:
         self.folder = folder
         self.parser = parser
-        self.host = f"127.{60 + os.getpid() // 250 % 100}.{os.getpid() % 250}."
-        self.host += str(next(_hosts) % 250 + 1)
+        self.host = own_host()
         self.process: Process | None = None
         self.observer: Observer | None = None
 
