Ask for room also where what has arrived was counted before

Its log shows 102 MB held of 16.5 MB that callers may hold, by 12 bodies of 4 MB that were all refused at once then.

Cause: a connection counts what has arrived, with the kernel's buffer, without asking, and asks when it is parsed, when the kernel's buffer is no longer counted. It held no more than before then, and the account let it go on without a look at the sum. Others did not give way either, as the one that grows was the largest at its turn: least work goes first, so that bodies grow together. It took a loop that is slow enough for all of them to progress within 0.1 s.

The account now looks at the sum each time. The new test of bodies that grow together failed before.

--- a/verbenagrade/state/client_account.py
+++ b/verbenagrade/state/client_account.py
@@ -228,19 +228,18 @@
     def hold(self, record: ClientRecord, beyond_bytes: int, now: float) -> bool:
         """Sets what a connection holds beyond what it needs at least.
 
-        If that is too much for all, others give way. Returns false if they hold too
-        little, or the connection itself weighs most; it must not grow then.
-
-        What a connection holds already is counted by ``note``.
+        If all hold too much, others give way. Returns false if they hold too little, or
+        the connection itself weighs most; it must not go on then, even if it holds no
+        more than before: ``note`` counts what has arrived without asking.
         """
         own = self.listeners[record.listener]
         if record not in own.records or record.activity is Activity.LEAVING:
             return False
-        known_bytes = record.held_bytes
+        known_bytes = record.held_bytes - own.limits.connection_bytes
         own.set_held(record, beyond_bytes)
-        if record.held_bytes <= known_bytes or self._make_room(own, record, now):
+        if self._make_room(own, record, now):
             return True
-        own.set_held(record, known_bytes - own.limits.connection_bytes)
+        own.set_held(record, min(known_bytes, beyond_bytes))
         return False
 
     def note(self, record: ClientRecord, beyond_bytes: int, now: float) -> None:
--- a/verbenagrade/state/tests/test_client_account.py
+++ b/verbenagrade/state/tests/test_client_account.py
@@ -91,6 +91,23 @@
     assert account.held_bytes == 120 + 2 * CONNECTION_BYTES
 
 
+# Guards against bodies that grow together, each the largest at its turn, where what
+# has arrived is counted before there is asked for room.
+def test_bodies_that_grow_together_keep_to_the_limit(account):
+    clients = [Client(account) for _ in range(CONNECTIONS)]
+    for client in clients:
+        account.progress(client.record, Activity.RECEIVING_CALL, 0.0)
+    for size_bytes in range(0, MEMORY_BYTES // 2, 2):
+        for client in clients:
+            account.note(client.record, size_bytes + 5, 0.0)
+            if account.hold(client.record, size_bytes, 0.0):
+                assert account.held_bytes <= MEMORY_BYTES
+            elif client.record.activity is not Activity.LEAVING:
+                account.leave(client.record, GiveUpReason.MEMORY)
+    assert account.held_bytes <= MEMORY_BYTES
+    assert any(c.record.activity is not Activity.LEAVING for c in clients)
+
+
 def test_call_whose_body_stops_gives_way_to_another_call(account):
     served, receiving, head, idle = (Client(account) for _ in range(4))
     account.progress(served.record, Activity.SERVED, 0.0)
