--- a/verbenagrade/transport/endpoint_connections.py
+++ b/verbenagrade/transport/endpoint_connections.py
@@ -13,7 +13,8 @@
 ]
 
 READ_BUFFER_BYTES = 8_192
-"""Bytes of a response in the library's buffer above half of which no more are read."""
+"""The library's buffer for a response, in bytes. Nothing more is read once it holds
+twice as much."""
 
 MAX_READ_BYTES = 2 * READ_BUFFER_BYTES
 """Bytes that are read from a connection at once."""
