--- /dev/null
+++ b/review/common2/harness.py
@@ -0,0 +1,283 @@
+"""A small deployment for the cases: gateway processes, a store, and servers.
+
+The gateways are started with the command and the settings template of
+``deploy/system.toml``, each at a loopback address of its own. The store is the
+project's stand-in, which each gateway reaches at a port of its own, so that it can be
+cut off alone.
+"""
+
+import asyncio
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+from pathlib import Path
+
+import aiohttp
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT))
+
+from verbenagrade.platform.tests.store_standin import StoreStandIn  # noqa: E402
+
+ROLE = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["gateway"]
+ZONE = "muscat-a"
+FRONT_PORT, READY_PORT, METRICS_PORT, RELAY_PORT = 18_227, 18_220, 17_340, 17_341
+LAST_INTERNAL_PORT = 17_355
+STARTUP_S = 20.0
+DATA = re.compile(r"\{\{([a-z_.0-9]+)\|json\}\}")
+
+BOUNDS = {
+    "stable_window_ms": 4000,
+    "drain_ms": 2500,
+    "grace_s": 8,
+    "config_apply_ms": 2500,
+    "strict_revoke": False,
+    "revoke_ms": 5000,
+    "retry_budget_ratio": 0.2,
+    "budget_window_s": 10,
+    "budget_slack": 56,
+}
+
+
+def render(template: str, fields: dict) -> str:
+    """Fills in a settings template whose placeholders are all ``{{a.b|json}}``."""
+
+    def value(match: re.Match) -> str:
+        found = fields
+        for name in match[1].split("."):
+            found = found[int(name)] if name.isdigit() else found[name]
+        return json.dumps(found)
+
+    return DATA.sub(value, template)
+
+
+class Cut:
+    """A loopback proxy between one gateway and the store.
+
+    While ``is_cut`` is set, nothing passes, and connections hang.
+    """
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self.target = host, int(port)
+        self.is_cut = False
+        self.restored = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.address = ""
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listens at a free port."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    def cut(self) -> None:
+        """Lets nothing pass from now on."""
+        self.is_cut = True
+        self.restored.clear()
+
+    def heal(self) -> None:
+        """Resets what hung, and lets new connections pass."""
+        self.is_cut = False
+        self.restored.set()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        self.writers.add(writer)
+        try:
+            while self.is_cut:
+                await self.restored.wait()
+            to_reader, to_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        finally:
+            self.writers.discard(writer)
+        self.writers |= {writer, to_writer}
+        try:
+            await asyncio.gather(
+                self._pass(reader, to_writer), self._pass(to_reader, writer)
+            )
+        except asyncio.CancelledError:
+            # The case has ended.
+            return
+        finally:
+            self.writers -= {writer, to_writer}
+            writer.close()
+            to_writer.close()
+
+    async def _pass(self, reader, writer) -> None:
+        try:
+            while data := await reader.read(65_536):
+                while self.is_cut:
+                    await self.restored.wait()
+                writer.write(data)
+                await writer.drain()
+            writer.write_eof()
+        except (OSError, RuntimeError):
+            writer.transport.abort()
+
+
+class Deployment:
+    """Gateways, their store, and a record of what happened.
+
+    ``record`` has lines with the time in seconds since the start.
+    """
+
+    def __init__(self, folder: Path, gateways: int) -> None:
+        self.folder = folder
+        self.count = gateways
+        self.store = StoreStandIn()
+        self.store.era = 1
+        self.cuts: list[Cut] = []
+        self.processes: list[subprocess.Popen | None] = [None] * gateways
+        self.temporary = tempfile.TemporaryDirectory(prefix="verbenagrade-case-")
+        self.started_at = time.monotonic()
+        self.lines: list[str] = []
+        pid = os.getpid()
+        self.prefix = f"127.{64 + pid // 250 % 64}.{1 + pid % 250}"
+
+    def now(self) -> float:
+        """Returns the time since the start, in seconds."""
+        return time.monotonic() - self.started_at
+
+    def note(self, text: str) -> None:
+        """Adds a line to the record."""
+        self.lines.append(f"{self.now():8.3f} {text}")
+
+    def host(self, number: int) -> str:
+        """Returns the address of a gateway."""
+        return f"{self.prefix}.{number + 1}"
+
+    def url(self, number: int) -> str:
+        """Returns where a gateway serves callers."""
+        return f"http://{self.host(number)}:{FRONT_PORT}"
+
+    async def start(self) -> None:
+        """Starts the store and all gateways, and waits until they are ready."""
+        await self.store.start()
+        for number in range(self.count):
+            cut = Cut(self.store.address)
+            await cut.start()
+            self.cuts.append(cut)
+            self.start_gateway(number)
+        await asyncio.gather(*map(self.wait_until_ready, range(self.count)))
+
+    def start_gateway(self, number: int) -> None:
+        """Starts the process of a gateway."""
+        path = Path(self.temporary.name) / f"node-{number}.json5"
+        template = (ROOT / ROLE["template"]).read_text()
+        path.write_text(render(template, self._fields(number)))
+        log = (Path(self.temporary.name) / f"node-{number}.log").open("ab")
+        environment = {
+            "PATH": os.environ["PATH"],
+            "HOME": self.temporary.name,
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "VERBENAGRADE_SETTINGS": str(path),
+            **ROLE["env"],
+        }
+        words = ROLE["run"].split()
+        command = [sys.executable, *words[1:]] if words[0] == "python3" else words
+        self.processes[number] = subprocess.Popen(
+            command, cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+        log.close()
+
+    def _fields(self, number: int) -> dict:
+        host = self.host(number)
+        return {
+            "node": f"front-{number + 1}",
+            "zone": ZONE,
+            "zones": {ZONE: "muscat"},
+            "ip": host,
+            "internal_ports": [METRICS_PORT, LAST_INTERNAL_PORT],
+            "listen": {
+                "front": f"{host}:{FRONT_PORT}",
+                "ready": f"{host}:{READY_PORT}",
+            },
+            "platform": {"address": self.cuts[number].address, "writes_per_s": 800},
+            "bounds": BOUNDS,
+            "limits": {"memory_mb": 150},
+        }
+
+    async def is_ready(self, number: int) -> bool:
+        """Asks a gateway whether it is ready, as the platform does."""
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        url = f"http://{self.host(number)}:{READY_PORT}/ready"
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.get(url) as response,
+            ):
+                return response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    async def wait_until_ready(self, number: int) -> None:
+        """Waits until a gateway is ready; raises ``TimeoutError`` after a time."""
+        async with asyncio.timeout(STARTUP_S):
+            while not await self.is_ready(number):  # noqa: ASYNC110
+                await asyncio.sleep(0.1)
+
+    def signal(self, number: int, signum: signal.Signals) -> None:
+        """Sends a signal to a gateway."""
+        self.processes[number].send_signal(signum)
+        self.note(f"{signum.name} to front-{number + 1}")
+        if signum == signal.SIGKILL:
+            self.processes[number].wait()
+
+    def log_of(self, number: int) -> str:
+        """Returns what a gateway has logged."""
+        path = Path(self.temporary.name) / f"node-{number}.log"
+        return path.read_text(errors="replace")
+
+    def keep_logs(self, folder: Path) -> None:
+        """Writes what the gateways have logged to a folder."""
+        for number in range(self.count):
+            (folder / f"node-{number}.log").write_text(self.log_of(number))
+
+    async def stop(self) -> None:
+        """Ends all gateways and the store, and writes the record."""
+        if keep := os.environ.get("KEEP_LOGS"):
+            self.keep_logs(Path(keep))
+        for process in self.processes:
+            if process is not None and process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+        await self.store.stop()
+        for cut in self.cuts:
+            cut.server.close()
+        (self.folder / "record.txt").write_text("\n".join(self.lines) + "\n")
+        self.temporary.cleanup()
+
+
+def configuration(routes: list[dict], services: list[dict], tenants: list[dict]):
+    """Returns the first desired state."""
+    return {
+        "version": 1,
+        "routes": routes,
+        "services": services,
+        "tenants": tenants,
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 4_194_304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15_000,
+        },
+    }
+
+
+def free_port(host: str) -> int:
+    """Returns a port that no process uses."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
