--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, str(FOLDER.parent / "common2"))
 
 import aiohttp  # noqa: E402
-from harness import Deployment, configuration  # noqa: E402
+from harness import Deployment, configuration, run_case  # noqa: E402
 from servers import Request, Server, end_head  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -191,23 +191,9 @@
         f" {sum(hot for _, hot in callers.refused)}"
         + (f", sent from {min(times):.1f} s to {max(times):.1f} s" if times else "")
     )
-    deployment.note(summary)
-    print(summary)
+    deployment.say(summary)
     return held
 
 
-async def main() -> int:
-    """Returns the exit code of the case."""
-    deployment = Deployment(FOLDER, GATEWAYS)
-    try:
-        return 0 if await play(deployment) else 1
-    except Exception as error:
-        deployment.note(f"the case could not run: {error!r}")
-        print(f"could not run: {error!r}")
-        return 2
-    finally:
-        await deployment.stop()
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(FOLDER, GATEWAYS, play))
--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -11,12 +11,12 @@
 import os
 import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import aiohttp
@@ -161,6 +161,11 @@
         """Returns where a gateway serves callers."""
         return f"http://{self.host(number)}:{FRONT_PORT}"
 
+    def say(self, text: str) -> None:
+        """Adds a line to the record and prints it."""
+        self.note(text)
+        print(text)
+
     async def start(self) -> None:
         """Starts the store and all gateways, and waits until they are ready."""
         await self.store.start()
@@ -276,8 +281,28 @@
     }
 
 
-def free_port(host: str) -> int:
-    """Returns a port that no process uses."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def run_case(
+    folder: Path, gateways: int, play: Callable[[Deployment], Awaitable[bool]]
+) -> int:
+    """Plays a case; returns 0 if the rule held, 1 if not, 2 if it could not run.
+
+    All processes that it started have ended then, also if it is told to stop.
+    """
+
+    async def run() -> int:
+        """Plays the case and cleans up."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        deployment = Deployment(folder, gateways)
+        try:
+            return 0 if await play(deployment) else 1
+        except Exception as error:
+            deployment.say(f"the case could not run: {error!r}")
+            return 2
+        finally:
+            await deployment.stop()
+
+    try:
+        return asyncio.run(run())
+    except asyncio.CancelledError:
+        return 2
--- a/review/common2/servers.py
+++ b/review/common2/servers.py
@@ -46,7 +46,8 @@
 class Server:
     """One server, which answers by ``handle``.
 
-    ``rejected_at`` are the times at which it turned requests away for want of room.
+    ``rejected_at`` are the times at which it turned requests away for want of room, and
+    ``is_down`` is set from a crash to the next start.
     """
 
     names = itertools.count(1)
@@ -62,6 +63,7 @@
         self.address = ""
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.is_down = False
         self.busy = 0
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.rejected_at: deque[float] = deque()
@@ -74,6 +76,7 @@
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         self.busy = 0
         self.rejected_at.clear()
+        self.is_down = False
         entry = {
             "service": self.service,
             "address": self.address,
@@ -91,6 +94,7 @@
     def crash(self) -> None:
         """Ends the incarnation without a word; its entry lapses some time later."""
         self.deployment.note(f"{self.name} crashes")
+        self.is_down = True
         self.server.close()
         self.busy = 0
         for writer in tuple(self.writers):
@@ -105,6 +109,10 @@
     async def crash_for(self, down_s: float) -> None:
         """Crashes and starts again after a time in seconds."""
         self.crash()
+        await self.start_later(down_s)
+
+    async def start_later(self, down_s: float) -> None:
+        """Starts again after a time in seconds."""
         await asyncio.sleep(down_s)
         await self.start()
 
