--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Sound requests that are the same are refused after three servers have crashed."""
+"""Sound requests that are the same are refused while servers are replaced."""
 
 import asyncio
 import itertools
@@ -13,24 +13,28 @@
 sys.path.insert(0, str(FOLDER.parent / "common2"))
 
 import aiohttp  # noqa: E402
-from harness import Deployment, configuration, run_case  # noqa: E402
+from harness import BOUNDS, Deployment, configuration, run_case  # noqa: E402
 from servers import Request, Server, end_head  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 
-GATEWAYS, SERVERS, SLOTS = 3, 5, 64
+GATEWAYS, SERVERS, SLOTS = 3, 9, 64
 CALLS_PER_S = 18.5
 """``swap-answer`` of sahil-dispatch."""
 
 HOT_SHARE = 0.28
 """Share of the calls that are about one thing: largest ``hot_key`` of the site."""
 
-EVENTS, HOT_EVENTS, EVENT_S = 42, 136, 0.0216
+EVENTS, HOT_EVENTS, EVENT_S = 42, 136, 0.05
 """Events of a stream, those of the hot one, and the time for an event of 7 tokens."""
 
-CRASHES_AT_S = (12.0, 12.8, 13.6, 14.4)
-DOWN_S = 2.0
+RELEASE_AT_S, RELEASED, GAP_S = 12.0, 5, 1.0
+"""Begin of the release, the servers that are replaced, and the time between two."""
+
+DRAIN_S, LINGER_S = BOUNDS["drain_ms"] / 1000, 1.5
+"""How long a server goes on after the store has its report, and a little longer."""
+
 LENGTH_S = 40.0
 DEADLINE_MS = 12_000
 KEY = "n2ctnfzs989anu6wsjnb"
@@ -128,13 +132,16 @@
             calls.create_task(callers.call())
 
 
-async def crash(deployment: Deployment, servers: list[Server], begun_at: float) -> None:
-    """Crashes one server after the other, each time the busiest that is up."""
-    async with asyncio.TaskGroup() as crashes:
-        for at_s in CRASHES_AT_S:
-            await asyncio.sleep(begun_at + at_s - deployment.now())
-            busiest = max(servers, key=lambda server: server.busy)
-            crashes.create_task(busiest.crash_for(DOWN_S))
+async def release(
+    deployment: Deployment, servers: list[Server], begun_at: float
+) -> None:
+    """Replaces one server after the other: a new one starts, the old one drains."""
+    await asyncio.sleep(begun_at + RELEASE_AT_S - deployment.now())
+    async with asyncio.TaskGroup() as leaving:
+        for old in servers[:RELEASED]:
+            await Server(deployment, "pool", SLOTS, stream).start()
+            leaving.create_task(old.leave(DRAIN_S + LINGER_S))
+            await asyncio.sleep(GAP_S)
 
 
 async def play(deployment: Deployment) -> bool:
@@ -174,7 +181,7 @@
         callers = Callers(deployment, session)
         tasks.create_task(load(callers, begun_at + LENGTH_S))
         if TROUBLE:
-            tasks.create_task(crash(deployment, servers, begun_at))
+            tasks.create_task(release(deployment, servers, begun_at))
     return judge(deployment, callers)
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Brittle servers fall over again and again while many users come at once."""
+"""A server that crashed once falls over again and again while it is brittle."""
 
 import asyncio
 import itertools
@@ -21,14 +21,15 @@
 GATEWAYS, SERVERS = 8, 3
 SLOTS, USUAL_QUEUE, BRITTLE_QUEUE = 6, 24, 0
 WORK_S = 0.09
-BRITTLE = int(os.environ.get("BRITTLE", "3"))
+BRITTLE = 3
 """The requests that a server may turn away in a second: ``Server-Brittle``."""
 
-CALLS_PER_S = float(os.environ.get("RATE", "120"))
-BURST = 1.7
-"""How many times the usual come in a burst."""
-
+CALLS_PER_S = 120.0
+"""They keep 60 in 100 of the slots busy."""
 CALM_S, BRITTLE_S = 4.0, 44.0
+CRASH_AT_S = 8.0
+"""Time from the first notice to the crash of one server."""
+
 DOWN_S = 3.0
 STABLE_WINDOW_S = BOUNDS["stable_window_ms"] / 1000
 DEADLINE_MS = 2_000
@@ -157,8 +158,12 @@
         await callers.load(CALLS_PER_S, deployment.now() + CALM_S)
         brittleness.since = deployment.now()
         deployment.note(f"the servers say Server-Brittle: {BRITTLE}")
-        rate = CALLS_PER_S * (BURST if TROUBLE else 1.0)
-        await callers.load(rate, deployment.now() + BRITTLE_S)
+        async with asyncio.TaskGroup() as tasks:
+            until_s = deployment.now() + BRITTLE_S
+            tasks.create_task(callers.load(CALLS_PER_S, until_s))
+            if TROUBLE:
+                await asyncio.sleep(CRASH_AT_S)
+                await servers[0].crash_for(DOWN_S)
     return judge(deployment, callers, brittleness.falls)
 
 
--- a/review/common2/servers.py
+++ b/review/common2/servers.py
@@ -61,6 +61,7 @@
         self.handle = handle
         self.name = ""
         self.address = ""
+        self.entry: dict[str, object] = {}
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.is_down = False
@@ -77,7 +78,7 @@
         self.busy = 0
         self.rejected_at.clear()
         self.is_down = False
-        entry = {
+        self.entry = {
             "service": self.service,
             "address": self.address,
             "zone": ZONE,
@@ -88,24 +89,27 @@
             "sequence": 1,
             "born": int(time.time() * 1000),
         }
-        self.deployment.store.put("servers", self.name, entry)
+        self.deployment.store.put("servers", self.name, self.entry)
         self.deployment.note(f"{self.name} starts")
 
     def crash(self) -> None:
         """Ends the incarnation without a word; its entry lapses some time later."""
         self.deployment.note(f"{self.name} crashes")
-        self.is_down = True
-        self.server.close()
-        self.busy = 0
-        for writer in tuple(self.writers):
-            writer.transport.abort()
-        for turn in self.waiting:
-            turn.cancel()
-        self.waiting.clear()
+        self._end()
         lapse = asyncio.create_task(self._lapse(self.name))
         self.lapses.add(lapse)
         lapse.add_done_callback(self.lapses.discard)
 
+    async def leave(self, after_s: float) -> None:
+        """Reports that it drains, and ends some seconds later as planned."""
+        entry = self.entry | {"state": "draining", "sequence": 2}
+        self.deployment.store.put("servers", self.name, entry)
+        self.deployment.note(f"{self.name} drains")
+        await asyncio.sleep(after_s)
+        self.deployment.note(f"{self.name} exits with {self.busy} requests at work")
+        self.deployment.store.remove("servers", self.name)
+        self._end()
+
     async def crash_for(self, down_s: float) -> None:
         """Crashes and starts again after a time in seconds."""
         self.crash()
@@ -140,6 +144,17 @@
                 return
         self.busy = max(0, self.busy - 1)
 
+    def _end(self) -> None:
+        """Ends the process: nothing listens any more, and connections are reset."""
+        self.is_down = True
+        self.server.close()
+        self.busy = 0
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+        for turn in self.waiting:
+            turn.cancel()
+        self.waiting.clear()
+
     async def _lapse(self, name: str) -> None:
         await asyncio.sleep(3 * PING_S)
         self.deployment.store.remove("servers", name)
