--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,26 +19,27 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 
-GATEWAYS, SERVERS, SLOTS = 3, 9, 64
-CALLS_PER_S = 18.5
-"""``swap-answer`` of sahil-dispatch."""
+GATEWAYS, SERVERS, SLOTS = 3, 6, 64
+CALLS_PER_S = 28.2
+"""``notice-translate`` of almanar-salat."""
 
-HOT_SHARE = 0.28
-"""Share of the calls that are about one thing: largest ``hot_key`` of the site."""
+HOT_SHARE, HOT_FROM_S, HOT_TO_S = 0.28, 9.0, 20.0
+"""Two times ``hot_key``, 5.5 s each, with its largest share: the share of the calls
+that are about one thing, and from when to when."""
 
-EVENTS, HOT_EVENTS, EVENT_S = 42, 136, 0.05
-"""Events of a stream, those of the hot one, and the time for an event of 7 tokens."""
+EVENTS, HOT_EVENTS, EVENT_S = 42, 136, 0.065
+"""Events of a stream, those of the hot one, and the time for an event."""
 
-RELEASE_AT_S, RELEASED, GAP_S = 12.0, 5, 1.0
+RELEASE_AT_S, RELEASED, GAP_S = 11.5, 3, 1.1
 """Begin of the release, the servers that are replaced, and the time between two."""
 
 DRAIN_S, LINGER_S = BOUNDS["drain_ms"] / 1000, 1.5
 """How long a server goes on after the store has its report, and a little longer."""
 
 LENGTH_S = 40.0
-DEADLINE_MS = 12_000
+DEADLINE_MS = 10_000
 KEY = "n2ctnfzs989anu6wsjnb"
-HOT_BODY = b"who covers the ward at dawn?"
+HOT_BODY = b"when is the Friday notice?"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +51,7 @@
 
 
 async def stream(server: Server, request: Request, writer: asyncio.StreamWriter):
-    """Streams the events of a draft."""
+    """Streams the events of an answer."""
     name = server.name
     await server.take_slot(queue=192)
     try:
@@ -81,15 +82,21 @@
     def __init__(self, deployment: Deployment, session: aiohttp.ClientSession) -> None:
         self.deployment = deployment
         self.session = session
+        self.begun_at = deployment.now()
         self.rng = random.Random(SEED)
         self.numbers = itertools.count(1)
         self.ends: Counter[tuple[int, bool]] = Counter()
         self.refused: list[tuple[float, bool]] = []
 
+    def elapsed_s(self) -> float:
+        """Returns the time since calls began, in seconds."""
+        return self.deployment.now() - self.begun_at
+
     async def call(self) -> None:
         """Sends one call and waits for its end."""
         number = next(self.numbers)
-        hot = self.rng.random() < HOT_SHARE
+        share = HOT_SHARE if HOT_FROM_S < self.elapsed_s() < HOT_TO_S else 0.0
+        hot = self.rng.random() < share
         body = HOT_BODY if hot else b"question %d" % number
         sent_at = self.deployment.now()
         answer = await self._send(f"{number:016x}", body)
@@ -110,7 +117,7 @@
             "Model": "m",
             "Token-Count": "826,1000",
         }
-        url = self.deployment.url(self.rng.randrange(GATEWAYS)) + "/swap/2f"
+        url = self.deployment.url(self.rng.randrange(GATEWAYS)) + "/translate/2f"
         timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + 1)
         status = 0
         try:
@@ -135,10 +142,15 @@
 async def release(
     deployment: Deployment, servers: list[Server], begun_at: float
 ) -> None:
-    """Replaces one server after the other: a new one starts, the old one drains."""
+    """Replaces one server after the other, the busiest first.
+
+    The new one starts, then the old one drains.
+    """
     await asyncio.sleep(begun_at + RELEASE_AT_S - deployment.now())
     async with asyncio.TaskGroup() as leaving:
-        for old in servers[:RELEASED]:
+        for _ in range(RELEASED):
+            old = max(servers, key=lambda server: server.busy)
+            servers.remove(old)
             await Server(deployment, "pool", SLOTS, stream).start()
             leaving.create_task(old.leave(DRAIN_S + LINGER_S))
             await asyncio.sleep(GAP_S)
@@ -147,19 +159,19 @@
 async def play(deployment: Deployment) -> bool:
     """Plays the case; returns whether the rule held."""
     route = {
-        "name": "swap",
+        "name": "translate",
         "host": "ficu95.example",
-        "prefix": "/swap/",
+        "prefix": "/translate/",
         "kind": "streaming",
         "service": "pool",
         "timeout_ms": DEADLINE_MS,
-        "target_latency_ms": 500,
-        "gap_aim_ms": 400,
+        "target_latency_ms": 400,
+        "gap_aim_ms": 300,
         "max_attempts": 1,
         "priority": 0,
         "session_affinity": True,
     }
-    engine = {"stride": 7, "kv_capacity_tokens": 408_411}
+    engine = {"stride": 7, "kv_capacity_tokens": 678_198}
     service = {
         "name": "pool",
         "health_path": "/health",
