--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Sound requests that are the same are refused while servers are replaced."""
+"""Sound requests that are the same are refused after servers were replaced."""
 
 import asyncio
 import itertools
@@ -17,6 +17,9 @@
 from servers import Request, Server, end_head  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+HOW = os.environ.get("HOW", "release")
+"""What ends three servers: ``release`` or ``crash``."""
+
 SEED = int(os.environ.get("SEED", "1"))
 
 GATEWAYS, SERVERS, SLOTS = 3, 6, 64
@@ -36,6 +39,9 @@
 DRAIN_S, LINGER_S = BOUNDS["drain_ms"] / 1000, 1.5
 """How long a server goes on after the store has its report, and a little longer."""
 
+CRASHES_AT_S, DOWN_S = (12.0, 12.8, 13.6), 2.0
+"""When servers crash, the busiest first, and for how long each is down."""
+
 LENGTH_S = 40.0
 DEADLINE_MS = 10_000
 KEY = "n2ctnfzs989anu6wsjnb"
@@ -156,6 +162,15 @@
             await asyncio.sleep(GAP_S)
 
 
+async def crash(deployment: Deployment, servers: list[Server], begun_at: float) -> None:
+    """Crashes one server after the other, each time the busiest that is up."""
+    async with asyncio.TaskGroup() as crashes:
+        for at_s in CRASHES_AT_S:
+            await asyncio.sleep(begun_at + at_s - deployment.now())
+            busiest = max(servers, key=lambda server: server.busy)
+            crashes.create_task(busiest.crash_for(DOWN_S))
+
+
 async def play(deployment: Deployment) -> bool:
     """Plays the case; returns whether the rule held."""
     route = {
@@ -193,7 +208,8 @@
         callers = Callers(deployment, session)
         tasks.create_task(load(callers, begun_at + LENGTH_S))
         if TROUBLE:
-            tasks.create_task(release(deployment, servers, begun_at))
+            end_servers = crash if HOW == "crash" else release
+            tasks.create_task(end_servers(deployment, servers, begun_at))
     return judge(deployment, callers)
 
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,7 +21,7 @@
 GATEWAYS, SERVERS = 8, 3
 SLOTS, USUAL_QUEUE, BRITTLE_QUEUE = 6, 24, 0
 WORK_S = 0.09
-BRITTLE = 3
+BRITTLE = 2
 """The requests that a server may turn away in a second: ``Server-Brittle``."""
 
 CALLS_PER_S = 120.0
