--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Sound requests that are the same are refused after servers were replaced."""
+"""Sound requests that are the same are refused after three servers have crashed."""
 
 import asyncio
 import itertools
@@ -17,8 +17,8 @@
 from servers import Request, Server, end_head  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOW = os.environ.get("HOW", "release")
-"""What ends three servers: ``release`` or ``crash``."""
+HOW = os.environ.get("HOW", "crash")
+"""What ends three servers: ``crash`` or ``release``."""
 
 SEED = int(os.environ.get("SEED", "1"))
 
@@ -208,7 +208,7 @@
         callers = Callers(deployment, session)
         tasks.create_task(load(callers, begun_at + LENGTH_S))
         if TROUBLE:
-            end_servers = crash if HOW == "crash" else release
+            end_servers = release if HOW == "release" else crash
             tasks.create_task(end_servers(deployment, servers, begun_at))
     return judge(deployment, callers)
 
