--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,10 +1,12 @@
-"""A server that crashed once falls over again and again while it is brittle."""
+"""A workspace gets more than it prepaid as its holder restores its grants too late."""
 
 import asyncio
 import itertools
+import json
 import os
 import random
 import sys
+from base64 import b64decode
 from collections import Counter
 from pathlib import Path
 
@@ -12,86 +14,54 @@
 sys.path.insert(0, str(FOLDER.parent / "common2"))
 
 import aiohttp  # noqa: E402
-from harness import BOUNDS, Deployment, configuration, run_case  # noqa: E402
+from harness import Deployment, configuration, run_case  # noqa: E402
 from servers import Request, Server, end_head  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SEED = int(os.environ.get("SEED", "1"))
 
-GATEWAYS, SERVERS = 8, 3
-SLOTS, USUAL_QUEUE, BRITTLE_QUEUE = 6, 24, 0
-WORK_S = 0.09
-BRITTLE = 2
-"""The requests that a server may turn away in a second: ``Server-Brittle``."""
-
-CALLS_PER_S = 120.0
-"""They keep 60 in 100 of the slots busy."""
-CALM_S, BRITTLE_S = 4.0, 44.0
-CRASH_AT_S = 8.0
-"""Time from the first notice to the crash of one server."""
-
-DOWN_S = 3.0
-STABLE_WINDOW_S = BOUNDS["stable_window_ms"] / 1000
-DEADLINE_MS = 2_000
-KEY = "n2ctnfzs989anu6wsjnb"
-
-
-class Brittleness:
-    """Since when the servers say that they are brittle, and their falls."""
-
-    def __init__(self, deployment: Deployment) -> None:
-        self.deployment = deployment
-        self.since = float("inf")
-        self.falls: list[float] = []
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    @property
-    def in_force(self) -> bool:
-        """Whether servers let fewer wait, and fall over."""
-        return self.deployment.now() > self.since + STABLE_WINDOW_S
-
-    async def serve(
-        self, server: Server, request: Request, writer: asyncio.StreamWriter
-    ) -> None:
-        """Runs a read, or turns it away if there is no room."""
-        brittle = self.deployment.now() > self.since
-        notices = (f"Server-Brittle: {BRITTLE}",) if brittle else ()
-        queue = BRITTLE_QUEUE if self.in_force else USUAL_QUEUE
-        name = server.name
-        if not await server.take_slot(queue):
-            lines = ("Not-Executed: 1", "Content-Length: 0", *notices)
-            writer.write(end_head(request, "503 Service Unavailable", *lines))
+GATEWAYS, SERVERS, SLOTS = 4, 3, 64
+CALLS_PER_S = 20.0
+PROMPT_TOKENS, EVENTS, EVENT_TOKENS, EVENT_S = 1_000, 3, 7, 0.0216
+"""A call of ``msg-tag``: a prompt of usual length and three events."""
+
+CALL_TOKENS = PROMPT_TOKENS + EVENTS * EVENT_TOKENS
+PREPAID = int(40 * CALLS_PER_S * CALL_TOKENS)
+"""What the calls use up in 40 s."""
+
+COPY_AT_S, AWAY_AT_S, BACK_AT_S = 33.5, 38.5, 39.0
+"""The copy is 5.5 s old when the store comes back from it, after 0.5 s away."""
+
+TURNED_AWAY_S = 9.0
+"""How long the store turns the holder away, from when it went away for all."""
+
+LENGTH_S = 60.0
+DEADLINE_MS = 3_000
+TENANT, KEY = "hule930", "n2ctnfzs989anu6wsjnb"
+
+
+async def stream(server: Server, request: Request, writer: asyncio.StreamWriter):
+    """Streams the events of an answer."""
+    name = server.name
+    await server.take_slot(queue=192)
+    try:
+        lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        writer.write(end_head(request, "200 OK", *lines))
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            event = f"id: {number}\ndata: {request.call_id} {number}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            self._turn_away(server, name)
-            return
-        try:
-            await asyncio.sleep(WORK_S)
-            head = end_head(request, "200 OK", "Content-Length: 4", *notices)
-            writer.write(head + b"done")
-        finally:
-            server.free_slot(name)
-
-    def _turn_away(self, server: Server, name: str) -> None:
-        if server.is_down or name != server.name:
-            return
-        now = self.deployment.now()
-        server.rejected_at.append(now)
-        while server.rejected_at[0] < now - 1.0:
-            server.rejected_at.popleft()
-        if self.in_force and len(server.rejected_at) > BRITTLE:
-            self.deployment.note(
-                f"{server.name} falls over:"
-                f" {len(server.rejected_at)} turned away in a second"
-            )
-            self.falls.append(now)
-            server.crash()
-            task = asyncio.create_task(server.start_later(DOWN_S))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+        writer.write(b"0\r\n\r\n")
+    finally:
+        server.free_slot(name)
 
 
 class Callers:
-    """Sends calls and counts their answers."""
+    """Sends calls of one workspace, and counts what it gets.
+
+    ``served`` counts the calls whose whole stream has reached the caller.
+    """
 
     def __init__(self, deployment: Deployment, session: aiohttp.ClientSession) -> None:
         self.deployment = deployment
@@ -99,6 +69,7 @@
         self.rng = random.Random(SEED)
         self.numbers = itertools.count(1)
         self.ends: Counter[str] = Counter()
+        self.served = 0
 
     async def call(self) -> None:
         """Sends one call and waits for its end."""
@@ -108,74 +79,120 @@
             "Request-Id": f"{number:016x}",
             "Deadline-Ms": str(DEADLINE_MS),
             "Authorization": f"Bearer {KEY}",
+            "Model": "m",
+            "Token-Count": f"{PROMPT_TOKENS},{EVENTS * EVENT_TOKENS}",
         }
-        url = self.deployment.url(self.rng.randrange(GATEWAYS))
+        url = self.deployment.url(self.rng.randrange(GATEWAYS)) + "/tag/2f"
         timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + 0.5)
+        body = b""
         try:
-            async with self.session.get(
-                f"{url}/read/{number}", headers=headers, timeout=timeout
+            async with self.session.post(
+                url, headers=headers, data=b"%d" % number, timeout=timeout
             ) as response:
-                await response.read()
+                body = await response.read()
                 end = str(response.status)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             end = type(error).__name__
         self.ends[end] += 1
+        whole = end == "200" and body.count(b"data: ") == EVENTS
+        self.served += whole
+        self.deployment.note(f"call {number:016x}: {end} whole={whole}")
 
-    async def load(self, calls_per_s: float, until_s: float) -> None:
+    async def load(self, until_s: float) -> None:
         """Sends calls at random times, and waits for their ends."""
         async with asyncio.TaskGroup() as calls:
             while self.deployment.now() < until_s:
-                await asyncio.sleep(self.rng.expovariate(calls_per_s))
+                await asyncio.sleep(self.rng.expovariate(CALLS_PER_S))
                 calls.create_task(self.call())
 
 
+def granted(deployment: Deployment) -> dict[str, int]:
+    """Returns the tokens that each VM was granted, as the store has them."""
+    rows = deployment.store.rows.items()
+    return {
+        key.rpartition("/")[2]: json.loads(b64decode(value))["tokens"]
+        for (table, part, key), (value, _) in rows
+        if table == "grants" and part == TENANT and "vm/" in key
+    }
+
+
+async def drill(deployment: Deployment, begun_at: float) -> None:
+    """Lets the store come back from a copy, and turn the holder away for some time."""
+
+    async def wait_until(at_s: float) -> None:
+        """Waits until a time of the case."""
+        await asyncio.sleep(begun_at + at_s - deployment.now())
+
+    store = deployment.store
+    await wait_until(COPY_AT_S)
+    store.take_copy()
+    deployment.note(f"copy of the store: granted {granted(deployment)}")
+    await wait_until(AWAY_AT_S)
+    store.status = 503
+    known = granted(deployment)
+    deployment.note(f"the store is away: granted {known}")
+    holder = int(max(known, key=known.get).rpartition("-")[2]) - 1
+    store.turned_away.add(deployment.store_addresses[holder])
+    await wait_until(BACK_AT_S)
+    lost = store.come_back_from_copy()
+    store.status = 0
+    deployment.note(
+        f"the store is back in era {store.era}, turns front-{holder + 1} away"
+    )
+    store.write_again(lost, ("op", "servers"))
+    await wait_until(AWAY_AT_S + TURNED_AWAY_S)
+    store.turned_away.clear()
+    deployment.note(f"the store serves front-{holder + 1}: {granted(deployment)}")
+
+
 async def play(deployment: Deployment) -> bool:
     """Plays the case; returns whether the rule held."""
     route = {
-        "name": "read",
+        "name": "tag",
         "host": "ficu95.example",
-        "prefix": "/read/",
-        "kind": "safe",
-        "service": "desk",
+        "prefix": "/tag/",
+        "kind": "streaming",
+        "service": "pool",
         "timeout_ms": DEADLINE_MS,
         "target_latency_ms": 500,
-        "max_attempts": 2,
+        "gap_aim_ms": 400,
+        "max_attempts": 1,
         "priority": 2,
+        "session_affinity": True,
+    }
+    service = {
+        "name": "pool",
+        "health_path": "/health",
+        "max_connections": 370,
+        "engine": {"stride": EVENT_TOKENS, "kv_capacity_tokens": 408_411},
     }
-    service = {"name": "desk", "health_path": "/health", "max_connections": 110}
-    tenants = [{"name": "hule930", "api_keys": [KEY]}]
+    tenants = [{"name": TENANT, "api_keys": [KEY], "prepaid": PREPAID}]
     deployment.store.put("op", "config", configuration([route], [service], tenants))
-    brittleness = Brittleness(deployment)
-    servers = [
-        Server(deployment, "desk", SLOTS, brittleness.serve) for _ in range(SERVERS)
-    ]
+    servers = [Server(deployment, "pool", SLOTS, stream) for _ in range(SERVERS)]
     for server in servers:
         await server.start()
     await deployment.start()
+    begun_at = deployment.now()
     connector = aiohttp.TCPConnector(limit=0, force_close=True)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with (
+        aiohttp.ClientSession(connector=connector) as session,
+        asyncio.TaskGroup() as tasks,
+    ):
         callers = Callers(deployment, session)
-        await callers.load(CALLS_PER_S, deployment.now() + CALM_S)
-        brittleness.since = deployment.now()
-        deployment.note(f"the servers say Server-Brittle: {BRITTLE}")
-        async with asyncio.TaskGroup() as tasks:
-            until_s = deployment.now() + BRITTLE_S
-            tasks.create_task(callers.load(CALLS_PER_S, until_s))
-            if TROUBLE:
-                await asyncio.sleep(CRASH_AT_S)
-                await servers[0].crash_for(DOWN_S)
-    return judge(deployment, callers, brittleness.falls)
-
-
-def judge(deployment: Deployment, callers: Callers, falls: list[float]) -> bool:
-    """Returns whether LIMIT held: no more falls than 2 + a tenth of the servers."""
-    allowed = 2 + SERVERS / 10
-    summary = (
-        f"ends {dict(callers.ends)}; falls {len(falls)} (allowed {allowed:.1f})"
-        f" at {[round(at, 1) for at in falls]} s"
+        tasks.create_task(callers.load(begun_at + LENGTH_S))
+        if TROUBLE:
+            tasks.create_task(drill(deployment, begun_at))
+    return judge(deployment, callers)
+
+
+def judge(deployment: Deployment, callers: Callers) -> bool:
+    """Returns whether BUDGET held: the workspace got no more than it prepaid."""
+    used = callers.served * CALL_TOKENS
+    deployment.say(
+        f"ends {dict(callers.ends)}; whole streams {callers.served}: {used} tokens of"
+        f" {PREPAID} prepaid ({used / PREPAID:.1%})"
     )
-    deployment.say(summary)
-    return len(falls) <= allowed
+    return used <= PREPAID
 
 
 if __name__ == "__main__":
--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -3,7 +3,7 @@
 The gateways are started with the command and the settings template of
 ``deploy/system.toml``, each at a loopback address of its own. The store is the
 project's stand-in, which each gateway reaches at a port of its own, so that it can be
-cut off alone.
+turned away alone.
 """
 
 import asyncio
@@ -58,74 +58,6 @@
     return DATA.sub(value, template)
 
 
-class Cut:
-    """A loopback proxy between one gateway and the store.
-
-    While ``is_cut`` is set, nothing passes, and connections hang.
-    """
-
-    def __init__(self, target: str) -> None:
-        host, _, port = target.rpartition(":")
-        self.target = host, int(port)
-        self.is_cut = False
-        self.restored = asyncio.Event()
-        self.server: asyncio.Server | None = None
-        self.address = ""
-        self.writers: set[asyncio.StreamWriter] = set()
-
-    async def start(self) -> None:
-        """Listens at a free port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
-
-    def cut(self) -> None:
-        """Lets nothing pass from now on."""
-        self.is_cut = True
-        self.restored.clear()
-
-    def heal(self) -> None:
-        """Resets what hung, and lets new connections pass."""
-        self.is_cut = False
-        self.restored.set()
-        for writer in self.writers:
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer) -> None:
-        self.writers.add(writer)
-        try:
-            while self.is_cut:
-                await self.restored.wait()
-            to_reader, to_writer = await asyncio.open_connection(*self.target)
-        except OSError:
-            writer.transport.abort()
-            return
-        finally:
-            self.writers.discard(writer)
-        self.writers |= {writer, to_writer}
-        try:
-            await asyncio.gather(
-                self._pass(reader, to_writer), self._pass(to_reader, writer)
-            )
-        except asyncio.CancelledError:
-            # The case has ended.
-            return
-        finally:
-            self.writers -= {writer, to_writer}
-            writer.close()
-            to_writer.close()
-
-    async def _pass(self, reader, writer) -> None:
-        try:
-            while data := await reader.read(65_536):
-                while self.is_cut:
-                    await self.restored.wait()
-                writer.write(data)
-                await writer.drain()
-            writer.write_eof()
-        except (OSError, RuntimeError):
-            writer.transport.abort()
-
-
 class Deployment:
     """Gateways, their store, and a record of what happened.
 
@@ -137,7 +69,7 @@
         self.count = gateways
         self.store = StoreStandIn()
         self.store.era = 1
-        self.cuts: list[Cut] = []
+        self.store_addresses: list[str] = []
         self.processes: list[subprocess.Popen | None] = [None] * gateways
         self.temporary = tempfile.TemporaryDirectory(prefix="verbenagrade-case-")
         self.started_at = time.monotonic()
@@ -170,9 +102,7 @@
         """Starts the store and all gateways, and waits until they are ready."""
         await self.store.start()
         for number in range(self.count):
-            cut = Cut(self.store.address)
-            await cut.start()
-            self.cuts.append(cut)
+            self.store_addresses.append(await self.store.open_address())
             self.start_gateway(number)
         await asyncio.gather(*map(self.wait_until_ready, range(self.count)))
 
@@ -208,7 +138,10 @@
                 "front": f"{host}:{FRONT_PORT}",
                 "ready": f"{host}:{READY_PORT}",
             },
-            "platform": {"address": self.cuts[number].address, "writes_per_s": 800},
+            "platform": {
+                "address": self.store_addresses[number],
+                "writes_per_s": 800,
+            },
             "bounds": BOUNDS,
             "limits": {"memory_mb": 150},
         }
@@ -259,8 +192,6 @@
                 process.kill()
                 process.wait()
         await self.store.stop()
-        for cut in self.cuts:
-            cut.server.close()
         (self.folder / "record.txt").write_text("\n".join(self.lines) + "\n")
         self.temporary.cleanup()
 
