--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,8 +23,8 @@
 CALLS_PER_S = {"/confirm/": 8.81, "/read/": 4.0}
 """``shift-confirm`` and ``worker-read`` of sahil-dispatch."""
 
-SPOILED_ONE_IN = 20
-"""One in so many answers of the faulty server is spoiled: ``garble`` with x 0.05."""
+SPOILED_ONE_IN = 34
+"""One in so many answers of the faulty server is spoiled: ``garble`` with x 0.03."""
 
 FAULTY_FROM_S, FAULTY_TO_S = 4.0, 37.0
 """Six times ``garble``, 5.5 s each."""
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -29,7 +29,7 @@
 PREPAID = int(40 * CALLS_PER_S * CALL_TOKENS)
 """What the calls use up in 40 s."""
 
-COPY_AT_S, AWAY_AT_S, BACK_AT_S = 33.5, 38.5, 39.0
+COPY_AT_S, AWAY_AT_S, BACK_AT_S = 35.0, 40.0, 40.5
 """The copy is 5.5 s old when the store comes back from it, after 0.5 s away."""
 
 TURNED_AWAY_S = 9.0
@@ -101,9 +101,11 @@
     async def load(self, until_s: float) -> None:
         """Sends calls at random times, and waits for their ends."""
         async with asyncio.TaskGroup() as calls:
-            while self.deployment.now() < until_s:
-                await asyncio.sleep(self.rng.expovariate(CALLS_PER_S))
+            at_s = self.deployment.now()
+            while at_s < until_s:
+                await asyncio.sleep(at_s - self.deployment.now())
                 calls.create_task(self.call())
+                at_s += self.rng.expovariate(CALLS_PER_S)
 
 
 def granted(deployment: Deployment) -> dict[str, int]:
