--- a/review/6/case.py
+++ b/review/6/case.py
@@ -70,7 +70,7 @@
                 writer.write(NO_ANSWER)
                 return
         name = server.name
-        await server.take_slot(queue=24)
+        await server.take_slot(request, queue=24)
         try:
             self.ran.add(request.call_id)
             await asyncio.sleep(WORK_S)
@@ -99,6 +99,7 @@
     async def call(self, path: str) -> None:
         """Sends one call and waits for its end."""
         call_id = f"{next(self.numbers):016x}"
+        sent_at = self.deployment.now()
         headers = {
             "Host": "ficu95.example",
             "Request-Id": call_id,
@@ -118,6 +119,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             end = type(error).__name__
         self.ends[end] += 1
+        self.deployment.note(f"{path}{call_id} sent at {sent_at:.3f}: {end}")
 
     def judge(
         self, path: str, call_id: str, response: aiohttp.ClientResponse, body: bytes
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -43,7 +43,7 @@
 async def stream(server: Server, request: Request, writer: asyncio.StreamWriter):
     """Streams the events of an answer."""
     name = server.name
-    await server.take_slot(queue=192)
+    await server.take_slot(request, queue=192)
     try:
         lines = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
         writer.write(end_head(request, "200 OK", *lines))
@@ -74,6 +74,7 @@
     async def call(self) -> None:
         """Sends one call and waits for its end."""
         number = next(self.numbers)
+        sent_at = self.deployment.now()
         headers = {
             "Host": "ficu95.example",
             "Request-Id": f"{number:016x}",
@@ -96,7 +97,9 @@
         self.ends[end] += 1
         whole = end == "200" and body.count(b"data: ") == EVENTS
         self.served += whole
-        self.deployment.note(f"call {number:016x}: {end} whole={whole}")
+        self.deployment.note(
+            f"call {number:016x} sent at {sent_at:.3f}: {end} whole={whole}"
+        )
 
     async def load(self, until_s: float) -> None:
         """Sends calls at random times, and waits for their ends."""
--- a/review/common2/servers.py
+++ b/review/common2/servers.py
@@ -120,8 +120,14 @@
         await asyncio.sleep(down_s)
         await self.start()
 
-    async def take_slot(self, queue: int) -> bool:
+    async def take_slot(self, request: Request, queue: int) -> bool:
         """Waits for a slot; returns false if ``queue`` requests wait already."""
+        begins = await self._wait_for_slot(queue)
+        done = "runs" if begins else "turns away"
+        self.deployment.note(f"{self.name} {done} {request.call_id}")
+        return begins
+
+    async def _wait_for_slot(self, queue: int) -> bool:
         if self.busy < self.slots:
             self.busy += 1
             return True
