Give no reader a response whose head HTTP forbids

Callers saw: an endpoint's status 000 as "HTTP/1.1 0 ", 099, 600 and 999 likewise, and 101 as a head without a body; chunk framing as body where the transfer coding is unknown; a body that is not the endpoint's where a blank stands between Content-Length or Transfer-Encoding and the colon (parser in C), or where two lengths differ (parser in Python). A control byte in a value closed the caller's connection unanswered. A refusal, a limit, a pause or a notice of leaving in such a head was believed.

Cause: the HTTP library is lenient with responses, and each reader used what it had read without asking whether HTTP allows it.

Fix: all sessions are opened in one place, with a class of responses that checks what the library has read before the reader gets it. It holds for calls sent directly and through another VM, streams, a router's services and engines, the store and the platform. The error is one of a failed attempt with an unknown outcome, and also one of the library, so that each reader handles it. It isn't counted as a crash: the endpoint has sent something. Event 241 and a metric tell what was wrong.

Not seen by this check: a blank before the name of the first field, which the parser in C drops.

--- a/verbenagrade/commands/client.py
+++ b/verbenagrade/commands/client.py
@@ -8,6 +8,7 @@
 
 from verbenagrade.exceptions import UndecodableError, VerbenagradeError
 from verbenagrade.state.decoding import decode_json
+from verbenagrade.transport.checked_responses import checked_session
 from verbenagrade.transport.sends import SingleSendConnector, send_once
 
 __all__ = ["ControlError", "call_control"]
@@ -34,7 +35,7 @@
     try:
         with send_once():
             async with (
-                aiohttp.ClientSession(
+                checked_session(
                     connector=SingleSendConnector(), timeout=timeout
                 ) as session,
                 session.request(method, url, data=data) as response,
--- a/verbenagrade/commands/control.py
+++ b/verbenagrade/commands/control.py
@@ -5,12 +5,12 @@
 import time
 from pathlib import Path
 
-import aiohttp
 import typer
 
 from verbenagrade.events import Event, log_event, set_up_logging
 from verbenagrade.exceptions import SettingsError
 from verbenagrade.settings import ControlSettings, load_settings
+from verbenagrade.transport.checked_responses import checked_session
 from verbenagrade.transport.clients.listeners import (
     ClientAppRunner,
     client_limits,
@@ -49,7 +49,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     clients = Clients(client_limits(settings.client_memory_mb), time.monotonic)
-    async with aiohttp.ClientSession() as session:
+    async with checked_session() as session:
         platform = settings.platform
         operators = OperatorApi(
             table_port(session, platform),
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -88,6 +88,7 @@
     RESPONSE_ABORTED = (237, logbook.INFO, "response to a caller broken off")
     CLIENT_GIVEN_UP = (239, logbook.INFO, "client given up to keep within the limits")
     CONNECTION_FAILED = (240, logbook.INFO, "connection of a client failed")
+    RESPONSE_INVALID = (241, logbook.WARNING, "endpoint sent no valid response")
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
     GRANT_DELAYED = (302, logbook.WARNING, "grant not adjusted; platform unavailable")
--- a/verbenagrade/metrics/gateway.py
+++ b/verbenagrade/metrics/gateway.py
@@ -34,6 +34,9 @@
             "Responses of endpoints, by framing (length, chunks, connection) and by"
             " result: complete, or the failure.",
         )
+        self.responses_invalid = self.counter(
+            "responses_invalid", "Responses that were not valid ones of an endpoint."
+        )
         self.store_away = self.counter(
             "store_away", "Requests to the store without a response."
         )
--- a/verbenagrade/transport/connections.py
+++ b/verbenagrade/transport/connections.py
@@ -5,6 +5,7 @@
 from verbenagrade.settings import RouterSettings
 from verbenagrade.state.identity import Instance
 from verbenagrade.state.membership import Members
+from verbenagrade.transport.checked_responses import checked_session
 from verbenagrade.transport.endpoint_client import EndpointClient
 from verbenagrade.transport.endpoint_connections import endpoint_connector
 from verbenagrade.transport.peer_client import PeerClient
@@ -32,10 +33,10 @@
         self, settings: RouterSettings, instance: Instance, members: Members
     ) -> None:
         timing = settings.timing
-        self.platform_session = aiohttp.ClientSession(
+        self.platform_session = checked_session(
             connector=aiohttp.TCPConnector(local_addr=(settings.address, 0))
         )
-        self.endpoint_session = aiohttp.ClientSession(
+        self.endpoint_session = checked_session(
             connector=endpoint_connector(), read_bufsize=STREAM_BUFFER_BYTES
         )
         self.table = table_port(self.platform_session, settings.platform)
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import (
     UndecodableError,
     UpstreamFailedError,
@@ -21,6 +22,9 @@
     ResponseEnd,
     judge_end,
 )
+from verbenagrade.transport.checked_responses import (
+    InvalidResponseError,
+)
 from verbenagrade.transport.response_ends import (
     ended_with_reset,
     fail_body_at_close,
@@ -75,6 +79,13 @@
             fail_body_at_close(response, recorded.closed)
             async with response:
                 yield response
+        except InvalidResponseError as error:
+            log_event(
+                Event.RESPONSE_INVALID, call=attempt, endpoint=url, reason=str(error)
+            )
+            raise UpstreamFailedError(
+                f"{url}: {error}; ask for the outcome before a retry"
+            ) from error
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachableError(
                 f"{url}: connection failed; retry in a second"
--- a/verbenagrade/transport/gateway/forwarding.py
+++ b/verbenagrade/transport/gateway/forwarding.py
@@ -17,6 +17,7 @@
     did_not_run,
     is_retry_allowed,
 )
+from verbenagrade.transport.checked_responses import InvalidResponseError
 from verbenagrade.transport.gateway import refusals
 from verbenagrade.transport.gateway.calls import Call, CallProgress, CallResult
 from verbenagrade.transport.gateway.core import GatewayCore
@@ -177,7 +178,7 @@
     except UpstreamTimeoutError as error:
         raise SendFailedError(Failure.SILENT, str(error)) from error
     except UpstreamFailedError as error:
-        if not progress.through_vm:
+        if not progress.through_vm and not isinstance(error, InvalidResponseError):
             record_broken_call(core, call, entry, progress.attempt_events)
         raise SendFailedError(Failure.BROKEN, str(error)) from error
     except asyncio.CancelledError:
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -28,6 +28,7 @@
 from verbenagrade.state.calls import CallHead
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.response_end import Framing, ResponseEnd
+from verbenagrade.transport.checked_responses import InvalidResponseError
 from verbenagrade.transport.endpoint_connections import UNTAKEN_BYTES
 from verbenagrade.transport.gateway.admission import (
     RefusedError,
@@ -36,6 +37,9 @@
 )
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import record_break
+from verbenagrade.transport.gateway.endpoint_responses import (
+    report_invalid,
+)
 from verbenagrade.transport.gateway.notices import record_notices
 from verbenagrade.transport.gateway.reach import is_cut_off
 from verbenagrade.transport.gateway.response_end import check_end
@@ -251,8 +255,11 @@
     )
     outgoing = OutgoingRequest(relayed.method, relayed.path, headers, body)
     try:
-        async with asyncio.timeout(relayed.deadline - started_at):
-            response = await send_to_endpoint(core, entry, outgoing, sent)
+        with report_invalid(core, _read_head(core, relayed).call_id, entry):
+            async with asyncio.timeout(relayed.deadline - started_at):
+                response = await send_to_endpoint(core, entry, outgoing, sent)
+    except InvalidResponseError as error:
+        raise NotPassedOnError(RelayResult.LOST, str(error)) from error
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         core.placement.unreachable(entry, core.clock())
         cut_off = await is_cut_off(core, entry, started_at)
--- a/verbenagrade/transport/gateway/store_connections.py
+++ b/verbenagrade/transport/gateway/store_connections.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from verbenagrade.transport.checked_responses import checked_session
+
 __all__ = ["open_socket", "store_session"]
 
 KEEPALIVE_IDLE_S = 1
@@ -26,9 +28,7 @@
     A long poll that waits on a connection which something between the two ends has
     lost track of would otherwise look like a table that does not change.
     """
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(socket_factory=open_socket)
-    )
+    return checked_session(connector=aiohttp.TCPConnector(socket_factory=open_socket))
 
 
 def open_socket(address: aiohttp.AddrInfoType) -> socket.socket:
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -25,12 +25,19 @@
 )
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.response_end import Framing, ResponseEnd
+from verbenagrade.transport.checked_responses import (
+    InvalidResponseError,
+    checked_session,
+)
 from verbenagrade.transport.endpoint_connections import (
     READ_BUFFER_BYTES,
     endpoint_connector,
 )
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
+from verbenagrade.transport.gateway.endpoint_responses import (
+    report_invalid,
+)
 from verbenagrade.transport.gateway.handover import hand_over
 from verbenagrade.transport.gateway.relay_client import request_through_peer
 from verbenagrade.transport.gateway.response_end import check_end
@@ -49,7 +56,7 @@
 
 def endpoint_session() -> aiohttp.ClientSession:
     """Returns a session without keep-alive, cookies or decompression."""
-    return aiohttp.ClientSession(
+    return checked_session(
         connector=endpoint_connector(),
         read_bufsize=READ_BUFFER_BYTES,
         auto_decompress=False,
@@ -205,27 +212,36 @@
 
     ``patience_s`` is the time in seconds after which another endpoint may take
     over. Raises ``UpstreamUnreachableError`` if nothing was sent, and
-    ``UpstreamTimeoutError`` or ``UpstreamFailedError`` if the outcome is unknown.
+    ``UpstreamTimeoutError`` or ``UpstreamFailedError`` if the outcome is unknown; the
+    latter is an ``InvalidResponseError`` if what came is no response to the call.
     """
-    attempt = Attempt(core, call, progress, entry)
+    with report_invalid(core, call.head.call_id, entry):
+        attempt = Attempt(core, call, progress, entry)
+        opened = await _open(attempt, patience_s)
+        response = opened.response
+        try:
+            head = core.call_format.read_response_head(
+                response.status, response.headers, call.head.call_id
+            )
+            if not head.matches_call:
+                raise InvalidResponseError("a response to another call")
+            yield UpstreamResponse(attempt, opened, head)
+        finally:
+            response.close()
+
+
+async def _open(attempt: Attempt, patience_s: float) -> OpenResponse:
+    """Sends a call; raises the same errors as ``open_upstream``."""
     try:
-        opened = await _request_or_hand_over(attempt, patience_s)
+        return await _request_or_hand_over(attempt, patience_s)
+    except InvalidResponseError:
+        raise
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
         raise UpstreamUnreachableError(f"connection failed: {error!r}") from error
     except TimeoutError as error:
         raise UpstreamTimeoutError("no answer in time") from error
     except (aiohttp.ClientError, OSError, ValueError) as error:
         raise UpstreamFailedError(f"no response: {error!r}") from error
-    response = opened.response
-    try:
-        head = core.call_format.read_response_head(
-            response.status, response.headers, call.head.call_id
-        )
-        if not head.matches_call:
-            raise UpstreamFailedError("the response belongs to another call")
-        yield UpstreamResponse(attempt, opened, head)
-    finally:
-        response.close()
 
 
 async def _request_or_hand_over(attempt: Attempt, patience_s: float) -> OpenResponse:
