Take bytes after a response for a fault with both parsers

Callers saw: 200 with the first bytes of a body whose length was too short, and 204 or 304 whose body followed, where the HTTP library parses in Python; with its parser in C the same if the body did not arrive together with the head. The rest was dropped.

Cause: the parser in C fails at bytes that begin no response, but only a reader that still waits for the head learns of it; the one in Python keeps them for a next response.

Evidence: "bytes after the length", "line after the length", "bytes after the chunks", "bytes after 204" and "bytes after 304" of test_invalid_responses were told as 200, 204 and 304 with the parser in Python on all four kinds of calls, and those that arrive after the head with both parsers.

Fix: what the library has read beyond the body is looked at when the head is there and when the body ends, before the caller is told that it is complete. A further response after a complete one still is nobody's, and the first one is passed on (test_response_sent_twice_reaches_one_caller_once). Bytes that arrive after the connection was closed are seen by nobody, as before.

--- a/verbenagrade/platform/tests/test_invalid_responses.py
+++ b/verbenagrade/platform/tests/test_invalid_responses.py
@@ -29,6 +29,7 @@
 LONG = {"timeout_ms": 60_000, "target_latency_ms": 60_000}
 DEADLINE_MS = "60000"
 PATHS = ["/once/x", "/safe/x", "/stream/x", "/resume/x"]
+PART_PAUSE_S = 0.02
 BODY = encode_event(1)
 CHUNKED_BODY = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
 LENGTH = b"Content-Length: %d" % len(BODY)
@@ -99,6 +100,11 @@
     "chunks in HTTP/1.0": response(
         CHUNKED, start=b"HTTP/1.0 200 OK", body=CHUNKED_BODY
     ),
+    "bytes after the length": response(body=BODY + b"more"),
+    "line after the length": response(body=BODY + b"more\n"),
+    "bytes after the chunks": response(CHUNKED, body=CHUNKED_BODY + b"more"),
+    "bytes after 204": status(b"204 No Content", b"Content-Length: 0", body=b"more"),
+    "bytes after 304": status(b"304 Not Modified", body=b"more"),
 }
 HEADS = INVALID_STATUSES | INVALID_FIELDS | INVALID_FRAMINGS
 """What is no valid response in HTTP."""
@@ -145,6 +151,7 @@
     "blank before the colon": (b"HTTP/1.1 200 OK", STORE_LENGTH.replace(b":", b" :")),
     "control byte in a value": (b"HTTP/1.1 200 OK", STORE_LENGTH, b"X-Odd: a\x01"),
     "unknown coding": (b"HTTP/1.1 200 OK", b"Transfer-Encoding: odd"),
+    "length too short": (b"HTTP/1.1 200 OK", b"Content-Length: 2"),
 }
 
 
@@ -154,13 +161,15 @@
     monkeypatch.setattr(client_proto, "HttpResponseParser", request.param)
 
 
-def sends(data: bytes):
-    """Returns a handler that sends data."""
+def sends(*parts: bytes):
+    """Returns a handler that sends parts, one after the other."""
 
     async def handle(request, writer):
         call_id = request.headers["request-id"].encode()
-        writer.write(data.replace(b"ID", call_id))
-        await writer.drain()
+        for part in parts:
+            writer.write(part.replace(b"ID", call_id))
+            await writer.drain()
+            await asyncio.sleep(PART_PAUSE_S if part is not parts[-1] else 0)
 
     return handle
 
@@ -204,6 +213,20 @@
     assert {case: end for case, end in heard.items() if end != (502, 1)} == {}
 
 
+# Guards against a body with bytes after its end that arrives after its head.
+@pytest.mark.parametrize("way", WAYS)
+async def test_bytes_that_arrive_after_a_body_make_it_invalid(testbed, parser, way):
+    await start(testbed, way, 1, plain(), **LONG)
+    for data in (
+        HEADS["bytes after the length"],
+        HEADS["line after the length"],
+        HEADS["bytes after the chunks"],
+    ):
+        head, _, body = data.partition(b"\r\n\r\n")
+        serve_all(testbed, sends(head + b"\r\n\r\n", body))
+        assert await told(testbed, "/once/x") == 502
+
+
 # Guards against refusing what is unusual and a response all the same.
 @pytest.mark.parametrize("way", WAYS)
 async def test_unusual_valid_response_is_passed_on(testbed, parser, way):
@@ -236,6 +259,7 @@
             status(line, *NOTICES, b"X-Odd: a\x01b"),
             status(line, *NOTICES, LENGTH.replace(b":", b" :")),
             status(line, *NOTICES, b"Transfer-Encoding: odd", body=CHUNKED_BODY),
+            status(line, *NOTICES, body=BODY + b"more"),
             response(*NOTICES, start=b"HTTP/2.0 " + line),
             status(b"000 ", *NOTICES),
         ):
--- a/verbenagrade/transport/checked_responses.py
+++ b/verbenagrade/transport/checked_responses.py
@@ -7,7 +7,9 @@
 from typing import Self
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.http import HttpProcessingError
 
 from verbenagrade.exceptions import UpstreamFailedError
 from verbenagrade.protocol.response_heads import ReceivedHead, find_head_fault
@@ -15,9 +17,12 @@
 __all__ = [
     "CheckedResponse",
     "InvalidResponseError",
+    "check_body_end",
     "checked_session",
 ]
 
+RESPONSE_START = b"HTTP/"
+
 
 class InvalidResponseError(UpstreamFailedError, aiohttp.ClientError):
     """What was received is no valid response; the outcome of the request is unknown.
@@ -28,20 +33,29 @@
 
 
 class CheckedResponse(aiohttp.ClientResponse):
-    """A response whose head is valid once it has started."""
+    """A response whose head is valid once it has started.
+
+    ``protocol`` parses what its connection receives, and ``has_more`` is set if bytes
+    that begin no further response have followed the body.
+    """
+
+    protocol: ResponseHandler | None = None
+    has_more = False
 
     async def start(self, connection: Connection) -> Self:
         """Reads the head.
 
-        Raises ``InvalidResponseError`` if it is not that of a final response.
+        Raises ``InvalidResponseError`` if it is not that of a final response, or if
+        other bytes have arrived after the end of the response.
         """
-        protocol = connection.protocol
+        self.protocol = connection.protocol
         try:
             await super().start(connection)
             self._check_head()
+            self.check_body_end()
         except (aiohttp.ClientResponseError, InvalidResponseError) as error:
             # A kept connection that went back with the last byte is not used again.
-            protocol.close()
+            self.protocol.close()
             if isinstance(error, InvalidResponseError):
                 raise
             raise InvalidResponseError(
@@ -49,12 +63,34 @@
             ) from error
         return self
 
+    def check_body_end(self) -> None:
+        """Raises ``InvalidResponseError`` if other bytes have followed the body."""
+        if self.has_more or _has_more(self.protocol):
+            raise InvalidResponseError("bytes after the end of the response")
+
     def _check_head(self) -> None:
         version = (self.version.major, self.version.minor)
         head = ReceivedHead(version, self.status, self.reason or "", self.raw_headers)
         if fault := find_head_fault(head):
             raise InvalidResponseError(fault)
 
+    def _response_eof(self) -> None:
+        """Notes what follows the body, after the parser and before the close."""
+        self._loop.call_soon(self._note_more)
+        super()._response_eof()
+
+    def _note_more(self) -> None:
+        self.has_more = self.has_more or _has_more(self.protocol)
+
+
+def check_body_end(response: aiohttp.ClientResponse) -> None:
+    """Raises ``InvalidResponseError`` if other bytes have followed a body.
+
+    Those of a further response are left to nobody: the body before them is complete.
+    """
+    if isinstance(response, CheckedResponse):
+        response.check_body_end()
+
 
 def checked_session(**options: object) -> aiohttp.ClientSession:
     """Returns a session that yields valid responses only.
@@ -63,3 +99,16 @@
     ``aiohttp.ClientSession``.
     """
     return aiohttp.ClientSession(response_class=CheckedResponse, **options)
+
+
+def _has_more(protocol: ResponseHandler) -> bool:
+    """Returns whether bytes that begin no response follow what was parsed.
+
+    The library's parser in C fails at them, and the one in Python keeps them.
+    """
+    if isinstance(protocol.exception(), HttpProcessingError):
+        return True
+    parser = protocol._parser
+    lines = getattr(parser, "_lines", ())
+    rest = b"\n".join((*lines, getattr(parser, "_tail", b"")))
+    return not RESPONSE_START.startswith(rest[: len(RESPONSE_START)])
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -24,6 +24,7 @@
 )
 from verbenagrade.transport.checked_responses import (
     InvalidResponseError,
+    check_body_end,
 )
 from verbenagrade.transport.response_ends import (
     ended_with_reset,
@@ -106,6 +107,7 @@
 
         It is that to the attempt ``sent``, whose body was read to its end.
         """
+        check_body_end(response)
         end = ResponseEnd(read_framing(response), ended_with_reset(sent.closed))
         verdict = judge_end(end)
         if verdict is EndVerdict.ENDPOINT_UNKNOWN:
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -169,13 +169,14 @@
         await response.prepare(request)
         events = EventCounter()
         try:
-            while data := await read_chunk(upstream, _remaining_s(core, relayed)):
-                events.feed(data)
-                await response.write(data)
+            with report_invalid(core, _read_head(core, relayed).call_id, entry):
+                while data := await read_chunk(upstream, _remaining_s(core, relayed)):
+                    events.feed(data)
+                    await response.write(data)
             end = ResponseEnd(read_framing(upstream), ended_with_reset(sent.closed))
             await check_end(core, entry, end, relayed.deadline)
         except UpstreamFailedError as error:
-            if not isinstance(error, UpstreamTimeoutError):
+            if not isinstance(error, UpstreamTimeoutError | InvalidResponseError):
                 _record_break(core, relayed, entry, events.count)
             log_event(
                 Event.RELAY_BROKEN,
--- a/verbenagrade/transport/gateway/send.py
+++ b/verbenagrade/transport/gateway/send.py
@@ -11,6 +11,7 @@
 
 from verbenagrade.exceptions import UpstreamFailedError, UpstreamTimeoutError
 from verbenagrade.state.directory import EndpointEntry
+from verbenagrade.transport.checked_responses import check_body_end
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.response_ends import fail_body_at_close
 from verbenagrade.transport.sends import SentRequest, send_once
@@ -85,12 +86,12 @@
     """Returns the next bytes of the body, empty at its end.
 
     Raises ``UpstreamTimeoutError`` if no bytes arrive within ``timeout_s`` seconds, and
-    ``UpstreamFailedError`` if the response has no end. Whether its end shows that it is
-    complete is for ``check_end``.
+    ``UpstreamFailedError`` if the response has no end, or other bytes after it. Whether
+    its end shows that it is complete is for ``check_end``.
     """
     try:
         async with asyncio.timeout(timeout_s):
-            return await response.content.readany()
+            data = await response.content.readany()
     except TimeoutError as error:
         raise UpstreamTimeoutError("timeout while reading the response") from error
     # The HTTP library raises ``RuntimeError`` for a read after the connection was lost,
@@ -102,3 +103,6 @@
         RuntimeError,
     ) as error:
         raise UpstreamFailedError(f"the answer broke off: {error!r}") from error
+    if not data:
+        check_body_end(response)
+    return data
--- a/verbenagrade/transport/tests/test_invalid_responses.py
+++ b/verbenagrade/transport/tests/test_invalid_responses.py
@@ -35,6 +35,7 @@
     "blank before a colon": START + LENGTH.replace(b":", b" :") + b"\r\n" + JSON,
     "control byte": START + LENGTH + b"X: a\x01\r\n\r\n" + JSON,
     "unknown coding": START + b"Transfer-Encoding: odd\r\n\r\n" + JSON,
+    "bytes after the length": START + LENGTH + b"\r\n" + JSON + b"more",
 }
 
 
