Take a response for an endpoint's only if it says so

Callers saw: a web page of a faulty server as the success of their call, without a seal; bookings that nobody had made counted as made. A 401, 404 or 302 without a seal ended the call in the same way. Another VM that passes calls on believed a limit, a pause or a notice of leaving in a response to another call.

Cause: nobody asked whether what came is an endpoint's response to the call. The signature was read and never looked at, and a response without an id counted as one to the call.

Fix: one decision in a gateway, before a response is passed on, counted or believed, for calls sent directly, through another VM, and for those of other VMs. A success needs the endpoint's signature, and any other response that or the id of the call; the body has no content coding, which no call asks for. What fails it is an attempt with an unknown outcome: another endpoint where the route allows it, else 502.

--- a/verbenagrade/platform/headers.py
+++ b/verbenagrade/platform/headers.py
@@ -114,9 +114,8 @@
     """Decodes the headers of an endpoint's response to the call ``call_id``.
 
     Status 421 and the header ``Not-Executed`` both state that a call did not run, and
-    ``Request-Id`` which call that is. Another response without ``Request-Id`` is
-    assumed to belong to this call. A limit that can't be read is treated as one that is
-    not named.
+    ``Request-Id`` which call that is. A limit that can't be read is treated as one that
+    is not named.
     """
     names_call = headers.get("Request-Id", "") == call_id
     not_run = names_call and (status == 421 or "Not-Executed" in headers)
@@ -125,6 +124,8 @@
         not_run=not_run,
         matches_call=headers.get("Request-Id", call_id) == call_id,
         signed="Server-Seal" in headers,
+        names_call=names_call,
+        encoded=headers.get("Content-Encoding", "").lower() not in ("", "identity"),
         limit_per_s=_parse_number(headers.get("Server-Limit", "")),
         leaving=headers.get("Server-Leaving", "") == "1",
         rejections_per_s=_parse_number(headers.get("Server-Brittle", "")),
--- a/verbenagrade/platform/tests/test_invalid_responses.py
+++ b/verbenagrade/platform/tests/test_invalid_responses.py
@@ -109,6 +109,24 @@
 HEADS = INVALID_STATUSES | INVALID_FIELDS | INVALID_FRAMINGS
 """What is no valid response in HTTP."""
 
+STRANGERS = {
+    "success without a seal": response(b"Request-Id: ID", named=False),
+    "web page": response(b"Content-Type: text/html", named=False),
+    "201 of a stranger": status(b"201 Created", named=False),
+    "204 of a stranger": status(
+        b"204 No Content", b"Content-Length: 0", body=b"", named=False
+    ),
+    "redirection of a stranger": status(b"302 Found", named=False),
+    "401 of a stranger": status(b"401 Unauthorized", named=False),
+    "404 of a stranger": status(b"404 Not Found", named=False),
+    "500 of a stranger": status(b"500 Oops", named=False),
+    "response to another call": response(
+        b"Request-Id: another", b"Server-Seal: s", named=False
+    ),
+    "encoded body": response(b"Content-Encoding: gzip"),
+}
+"""Responses in HTTP that are not those of the endpoint to the call."""
+
 VALID = {
     "no reason": (status(b"200"), 200),
     "unknown reason": (status(b"200 Quite \xe9 fine"), 200),
@@ -202,12 +220,15 @@
 
 # Guards against bytes that are no response of the endpoint and that reach a caller as
 # one, or close the caller's connection.
+@pytest.mark.parametrize("cases", [HEADS, STRANGERS], ids=["http", "strangers"])
 @pytest.mark.parametrize("way", WAYS)
-async def test_invalid_response_is_a_failure_for_the_caller(testbed, parser, way):
+async def test_invalid_response_is_a_failure_for_the_caller(
+    testbed, parser, way, cases
+):
     await start(testbed, way, 1, plain(), **LONG)
     heard = {}
     for path in PATHS:
-        for name, data in HEADS.items():
+        for name, data in cases.items():
             serve_all(testbed, sends(data))
             heard[path, name] = (await told(testbed, path), request_count(testbed))
     assert {case: end for case, end in heard.items() if end != (502, 1)} == {}
@@ -244,7 +265,7 @@
     attempts = {"/once/x": (502, 1), "/stream/x": (502, 1)}
     repeated = {"/safe/x": (200, 2), "/resume/x": (200, 2)}
     for path, expected in (attempts | repeated).items():
-        for name, data in HEADS.items():
+        for name, data in (HEADS | STRANGERS).items():
             serve_all(testbed, sends(data), sends(response()))
             heard = (await told(testbed, path), request_count(testbed))
             assert heard == expected, (path, name)
@@ -260,8 +281,11 @@
             status(line, *NOTICES, LENGTH.replace(b":", b" :")),
             status(line, *NOTICES, b"Transfer-Encoding: odd", body=CHUNKED_BODY),
             status(line, *NOTICES, body=BODY + b"more"),
+            status(line, *NOTICES, named=False),
+            status(line, *NOTICES, b"Request-Id: x", b"Server-Seal: s", named=False),
             response(*NOTICES, start=b"HTTP/2.0 " + line),
             status(b"000 ", *NOTICES),
+            status(b"200 OK", *NOTICES, named=False),
         ):
             serve_all(testbed, sends(data))
             assert await told(testbed, "/once/x") == 502, data
@@ -280,8 +304,10 @@
         ("000", "status 000"),
         ("control byte in a value", "X-Odd"),
         ("unknown coding", "odd"),
+        ("web page", "signature"),
+        ("response to another call", "another call"),
     ):
-        serve_all(testbed, sends(HEADS[name]))
+        serve_all(testbed, sends((HEADS | STRANGERS)[name]))
         with logbook.TestHandler().applicationbound() as logs:
             await told(testbed, "/once/x")
         lines = [
--- a/verbenagrade/protocol/calls.py
+++ b/verbenagrade/protocol/calls.py
@@ -10,7 +10,9 @@
 
 from verbenagrade.state.calls import CallHead
 
-__all__ = ["CallFormat", "EndpointCall", "ResponseHead"]
+__all__ = ["CallFormat", "EndpointCall", "ResponseHead", "find_sender_fault"]
+
+SUCCESSES = range(200, 300)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,11 +37,13 @@
     """The status and the headers of an endpoint's response.
 
     ``not_run`` is set if the endpoint guarantees that the call did not run there.
-    ``matches_call`` is false for a late response to another call. ``signed`` is set if
-    the response has the endpoint's signature. ``limit_per_s`` is the number of calls
-    per second that the endpoint takes from all VMs together, ``None`` if it names none.
-    ``leaving`` is set if the endpoint says that it leaves. ``pause_s`` is the time in
-    seconds for which it wants no call of this VM, ``None`` if it does not say so.
+    ``matches_call`` is false for a late response to another call, and ``names_call`` is
+    set if the response tells that it is to this one. ``signed`` is set if it has the
+    endpoint's signature, and ``encoded`` if its body has a content coding.
+    ``limit_per_s`` is the number of calls per second that the endpoint takes from all
+    VMs together, ``None`` if it names none. ``leaving`` is set if the endpoint says
+    that it leaves. ``pause_s`` is the time in seconds for which it wants no call of
+    this VM, ``None`` if it does not say so.
     ``rejections_per_s`` is the number of calls a second that it may turn away before it
     falls over, ``None`` if it is not brittle.
     """
@@ -48,12 +52,35 @@
     not_run: bool
     matches_call: bool
     signed: bool
+    names_call: bool = True
+    encoded: bool = False
     limit_per_s: float | None = None
     leaving: bool = False
     pause_s: float | None = None
     rejections_per_s: float | None = None
 
 
+def find_sender_fault(head: ResponseHead) -> str:
+    """Returns why a response is not that of an endpoint to a call, empty if it is.
+
+    Endpoints sign each success, and name the call in all that they do not sign.
+
+    >>> find_sender_fault(ResponseHead(404, False, True, signed=False))
+    ''
+    >>> find_sender_fault(ResponseHead(200, False, True, signed=False))
+    "a success without the endpoint's signature"
+    """
+    if not head.matches_call:
+        return "a response to another call"
+    if head.encoded:
+        return "an encoded body, which no call asks for"
+    if not head.signed and head.status in SUCCESSES:
+        return "a success without the endpoint's signature"
+    if not head.signed and not head.names_call:
+        return "neither the endpoint's signature nor the id of the call"
+    return ""
+
+
 @dataclass(frozen=True, slots=True)
 class CallFormat:
     """Functions that read and write the headers of a deployment.
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -38,6 +38,7 @@
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.crashes import record_break
 from verbenagrade.transport.gateway.endpoint_responses import (
+    read_endpoint_head,
     report_invalid,
 )
 from verbenagrade.transport.gateway.notices import record_notices
@@ -163,7 +164,7 @@
     """
     sent = SentRequest()
     async with _open(core, relayed, entry, body, sent) as upstream:
-        response = _response_to_vm(core, relayed, entry, upstream)
+        response = _response_to_vm(core, relayed, upstream)
         _log(core, relayed, RelayResult.SENT, "")
         request.protocol.source_bytes = UNTAKEN_BYTES
         await response.prepare(request)
@@ -202,17 +203,9 @@
 
 
 def _response_to_vm(
-    core: GatewayCore,
-    relayed: RelayedCall,
-    entry: EndpointEntry,
-    upstream: aiohttp.ClientResponse,
+    core: GatewayCore, relayed: RelayedCall, upstream: aiohttp.ClientResponse
 ) -> web.StreamResponse:
     """Returns the head of the response, with that of the endpoint and the proof."""
-    call_id = _read_head(core, relayed).call_id
-    head = core.call_format.read_response_head(
-        upstream.status, upstream.headers, call_id
-    )
-    record_notices(core, call_id, entry, head)
     passed_on = core.call_format.response_headers(upstream.headers.items())
     headers = [(n, v) for n, v in passed_on.items() if not is_relay_header(n)]
     response = web.StreamResponse(status=upstream.status)
@@ -250,15 +243,8 @@
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """Sends the call; raises ``NotPassedOnError`` if no response begins."""
     started_at = core.clock()
-    order = relayed.order
-    headers = core.call_format.endpoint_headers(
-        order.headers, order.endpoint_call(started_at - relayed.arrived_at)
-    )
-    outgoing = OutgoingRequest(relayed.method, relayed.path, headers, body)
     try:
-        with report_invalid(core, _read_head(core, relayed).call_id, entry):
-            async with asyncio.timeout(relayed.deadline - started_at):
-                response = await send_to_endpoint(core, entry, outgoing, sent)
+        response = await _request(core, relayed, entry, body, sent)
     except InvalidResponseError as error:
         raise NotPassedOnError(RelayResult.LOST, str(error)) from error
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -277,6 +263,36 @@
         response.close()
 
 
+async def _request(
+    core: GatewayCore,
+    relayed: RelayedCall,
+    entry: EndpointEntry,
+    body: bytes,
+    sent: SentRequest,
+) -> aiohttp.ClientResponse:
+    """Sends the call, and takes notice of what the endpoint says in its response.
+
+    Raises ``TimeoutError`` at the deadline, and the errors of ``send_to_endpoint`` and
+    ``read_endpoint_head``.
+    """
+    now, order = core.clock(), relayed.order
+    headers = core.call_format.endpoint_headers(
+        order.headers, order.endpoint_call(now - relayed.arrived_at)
+    )
+    outgoing = OutgoingRequest(relayed.method, relayed.path, headers, body)
+    call_id = _read_head(core, relayed).call_id
+    with report_invalid(core, call_id, entry):
+        async with asyncio.timeout(relayed.deadline - now):
+            response = await send_to_endpoint(core, entry, outgoing, sent)
+        try:
+            head = read_endpoint_head(core, response, call_id)
+        except InvalidResponseError:
+            response.close()
+            raise
+    record_notices(core, call_id, entry, head)
+    return response
+
+
 def _record_break(
     core: GatewayCore, relayed: RelayedCall, entry: EndpointEntry, events: int
 ) -> None:
--- a/verbenagrade/transport/gateway/upstream.py
+++ b/verbenagrade/transport/gateway/upstream.py
@@ -36,6 +36,7 @@
 from verbenagrade.transport.gateway.calls import Call, CallProgress
 from verbenagrade.transport.gateway.core import GatewayCore
 from verbenagrade.transport.gateway.endpoint_responses import (
+    read_endpoint_head,
     report_invalid,
 )
 from verbenagrade.transport.gateway.handover import hand_over
@@ -220,11 +221,7 @@
         opened = await _open(attempt, patience_s)
         response = opened.response
         try:
-            head = core.call_format.read_response_head(
-                response.status, response.headers, call.head.call_id
-            )
-            if not head.matches_call:
-                raise InvalidResponseError("a response to another call")
+            head = read_endpoint_head(core, response, call.head.call_id)
             yield UpstreamResponse(attempt, opened, head)
         finally:
             response.close()
