Bound what is kept of a response that is read whole

Nobody saw it yet: a store, a platform service or an engine that sends a body without end fills the memory of the process that asked, and the calls of all its callers end with it. The stream of an engine whose line does not end was told 500 in place of 502.

Cause: whole bodies were read with the library's read(), which has no limit, the bodies of errors too. The library raises an error of its parser for a line that is too long, which nothing expected.

Heads, interim responses and trailers without end held before. Now all keep to 100 MB, the most that a process may take on a VM of 150 MB.

Fix: a body is read whole only up to a number of bytes, 8 MB, with an error of the platform or the endpoint beyond it; of changes, the whole table is read in their place, as for those that would take too long. A completion also needs room in the account of the callers, as the response of a plain service does. Lines that are too long end a stream with 502.

--- a/verbenagrade/platform/store.py
+++ b/verbenagrade/platform/store.py
@@ -32,6 +32,7 @@
     encode_transaction,
 )
 from verbenagrade.settings.gateway import GatewaySettings
+from verbenagrade.transport.checked_responses import read_body, read_parts
 
 __all__ = ["store_port"]
 
@@ -45,6 +46,14 @@
 """Time allowed for receiving a response once its transfer has started, in seconds.
 A configuration of 4 MB in base64 takes 9 s on a link of 5 Mbit/s."""
 
+MAX_RESPONSE_BYTES = 8_388_608
+"""Largest size of a response, in bytes: more than a page of rows has, and what a link
+of 5 Mbit/s transfers in that time."""
+
+MAX_CHANGES_BYTES = 6_291_456
+"""Largest size of a response with changes, in bytes. The whole table is read if there
+are more."""
+
 ERA_HEADER = "Store-Era"
 """Header of all responses, which counts how often the store lost recent writes."""
 
@@ -157,7 +166,10 @@
             "wait_ms": int(wait_s * MS_PER_S),
         }
         page = await self._fetch_rows(
-            "rows-feed", query, wait_s + self.timeout_s, accept
+            "rows-feed",
+            query,
+            wait_s + self.timeout_s,
+            lambda size_bytes: size_bytes <= MAX_CHANGES_BYTES and accept(size_bytes),
         )
         # One response can contain several changes of a row; the last one is current.
         rows = page.content.rows
@@ -294,19 +306,20 @@
     Raises ``ResponseDeclinedError`` as soon as it does not.
     """
     if accept is None:
-        return await response.read()
+        return await read_body(response, MAX_RESPONSE_BYTES)
     body = bytearray()
-    size = response.content_length or 0
-    declined = not accept(size)
-    while not declined and (chunk := await response.content.readany()):
-        body += chunk
-        size = max(size, len(body))
-        declined = not accept(size)
-    if declined:
+    _check_accepted(accept, response.content_length or 0)
+    async for data in read_parts(response, MAX_RESPONSE_BYTES):
+        body += data
+        _check_accepted(accept, max(len(body), response.content_length or 0))
+    return bytes(body)
+
+
+def _check_accepted(accept: AcceptResponse, size_bytes: int) -> None:
+    if not accept(size_bytes):
         raise ResponseDeclinedError(
-            f"response of {size} bytes declined; read the whole table"
+            f"response of {size_bytes} bytes declined; read the whole table"
         )
-    return bytes(body)
 
 
 def _has_next(content: WireRows) -> bool:
--- a/verbenagrade/transport/chat.py
+++ b/verbenagrade/transport/chat.py
@@ -38,6 +38,7 @@
 from verbenagrade.transport.endpoint_client import EndpointClient
 from verbenagrade.transport.engine_response import EngineResponse
 from verbenagrade.transport.requests import Caller, key_with_digest
+from verbenagrade.transport.service_response import may_keep
 
 __all__ = ["ChatService"]
 
@@ -201,7 +202,7 @@
             if call.chat_request.stream:
                 await self._stream(call.request, response, engine_response)
             else:
-                response = await self._respond_complete(engine_response)
+                response = await self._respond_complete(call.request, engine_response)
         except UpstreamUnreachableError:
             raise
         except Exception as error:
@@ -219,8 +220,12 @@
         outcome.advance("answer")
         return response
 
-    async def _respond_complete(self, engine_response: EngineResponse) -> web.Response:
-        body = await engine_response.read_complete()
+    async def _respond_complete(
+        self, request: web.Request, engine_response: EngineResponse
+    ) -> web.Response:
+        body = await engine_response.read_complete(
+            lambda size_bytes: may_keep(request, size_bytes)
+        )
         headers = {
             REQUEST_ID_HEADER: engine_response.admission.admission_request.request
         }
--- a/verbenagrade/transport/checked_responses.py
+++ b/verbenagrade/transport/checked_responses.py
@@ -4,6 +4,7 @@
 The HTTP library parses; what it has read is checked before its reader gets it.
 """
 
+from collections.abc import AsyncIterator
 from typing import Self
 
 import aiohttp
@@ -17,8 +18,11 @@
 __all__ = [
     "CheckedResponse",
     "InvalidResponseError",
+    "ResponseTooLargeError",
     "check_body_end",
     "checked_session",
+    "read_body",
+    "read_parts",
 ]
 
 RESPONSE_START = b"HTTP/"
@@ -32,6 +36,10 @@
     """
 
 
+class ResponseTooLargeError(InvalidResponseError):
+    """A response is larger than its reader takes."""
+
+
 class CheckedResponse(aiohttp.ClientResponse):
     """A response whose head is valid once it has started.
 
@@ -92,6 +100,36 @@
         response.check_body_end()
 
 
+async def read_parts(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> AsyncIterator[bytes]:
+    """Yields the parts of a body as they arrive.
+
+    Raises ``ResponseTooLargeError`` as soon as it turns out to have more than
+    ``max_bytes`` bytes.
+    """
+    size_bytes = response.content_length or 0
+    received_bytes = 0
+    while size_bytes <= max_bytes:
+        data = await response.content.readany()
+        if not data:
+            check_body_end(response)
+            return
+        received_bytes += len(data)
+        size_bytes = max(size_bytes, received_bytes)
+        if size_bytes <= max_bytes:
+            yield data
+    raise ResponseTooLargeError(f"the body has more than {max_bytes} bytes")
+
+
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Returns the whole body; raises the same errors as ``read_parts``."""
+    body = bytearray()
+    async for data in read_parts(response, max_bytes):
+        body += data
+    return bytes(body)
+
+
 def checked_session(**options: object) -> aiohttp.ClientSession:
     """Returns a session that yields valid responses only.
 
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 import aiohttp
+from aiohttp.http import HttpProcessingError
 
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import (
@@ -13,6 +14,7 @@
     UpstreamFailedError,
     UpstreamTimeoutError,
     UpstreamUnreachableError,
+    VerbenagradeError,
 )
 from verbenagrade.protocol.chat import EngineRecord
 from verbenagrade.state.decoding import decode_json
@@ -25,6 +27,7 @@
 from verbenagrade.transport.checked_responses import (
     InvalidResponseError,
     check_body_end,
+    read_body,
 )
 from verbenagrade.transport.response_ends import (
     ended_with_reset,
@@ -38,6 +41,8 @@
 
 ATTEMPT_HEADER = "X-Request-Id"
 RECORD_TIMEOUT_S = 5.0
+MAX_RECORD_BYTES = 65_536
+"""Largest size of the record of an attempt, in bytes."""
 
 
 class EndpointClient:
@@ -87,6 +92,8 @@
             raise UpstreamFailedError(
                 f"{url}: {error}; ask for the outcome before a retry"
             ) from error
+        except VerbenagradeError:
+            raise
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamUnreachableError(
                 f"{url}: connection failed; retry in a second"
@@ -95,7 +102,9 @@
             raise UpstreamTimeoutError(
                 f"{url}: no progress; ask for the outcome before a retry"
             ) from error
-        except aiohttp.ClientError as error:
+        # The library raises ``ValueError`` for a line that is too long, and an error of
+        # its parser if that is written in Python.
+        except (aiohttp.ClientError, HttpProcessingError, ValueError) as error:
             raise UpstreamFailedError(
                 f"{url}: {type(error).__name__}; ask for the outcome before a retry"
             ) from error
@@ -133,6 +142,8 @@
             async with self.session.request(method, url, timeout=timeout) as response:
                 if not response.ok:
                     return None
-                return decode_json(await response.read(), EngineRecord)
+                return decode_json(
+                    await read_body(response, MAX_RECORD_BYTES), EngineRecord
+                )
         except (aiohttp.ClientError, TimeoutError, UndecodableError):
             return None
--- a/verbenagrade/transport/engine_response.py
+++ b/verbenagrade/transport/engine_response.py
@@ -1,6 +1,6 @@
 """Reads the response of an engine for one attempt and counts its tokens."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 
 import aiohttp
@@ -19,10 +19,16 @@
     parse_chunk,
 )
 from verbenagrade.protocol.sse import DONE, parse_data_line
+from verbenagrade.transport.checked_responses import read_body, read_parts
 from verbenagrade.transport.endpoint_client import EndpointClient
 
 __all__ = ["EngineResponse"]
 
+MAX_COMPLETION_BYTES = 8_388_608
+MAX_PROBLEM_BYTES = 65_536
+"""Largest size of a response that is not streamed, and of one that reports an error,
+in bytes."""
+
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_CLIENT_ERRORS = range(400, 500)
@@ -76,20 +82,27 @@
         """Whether the next request resumes an attempt that has already started."""
         return self.admission.is_resumed or self.meter.opened
 
-    async def read_complete(self) -> bytes:
+    async def read_complete(self, may_keep: Callable[[int], bool]) -> bytes:
         """Returns the complete body of a response that is not streamed.
 
-        Raises ``UpstreamFailedError`` if it is not a chat completion.
+        ``may_keep`` returns whether there is room for a body of so many bytes. Raises
+        ``UpstreamFailedError`` if there is none, or if it is not a chat completion.
         """
         resumes = self.resumes
         async with self._open() as upstream:
-            body = await upstream.read()
-            _check_status(upstream, body, resumes)
+            await _check_status(upstream, resumes)
+            body = bytearray()
+            async for data in read_parts(upstream, MAX_COMPLETION_BYTES):
+                body += data
+                if not may_keep(len(body)):
+                    raise UpstreamFailedError(
+                        "too little memory for the completion; retry in a second"
+                    )
         try:
-            self.meter.usage = parse_chunk(body).usage or Usage()
+            self.meter.usage = parse_chunk(bytes(body)).usage or Usage()
         except UndecodableError as error:
             raise UpstreamFailedError(f"invalid chat completion: {error}") from error
-        return body
+        return bytes(body)
 
     async def events(self) -> AsyncIterator[bytes]:
         """Yields the data of events before the one that ends the stream.
@@ -99,8 +112,7 @@
         resumes = self.resumes
         async with self._open() as upstream:
             self.meter.opened = True
-            if upstream.status != HTTP_OK:
-                _check_status(upstream, await upstream.read(), resumes)
+            await _check_status(upstream, resumes)
             async for line in upstream.content:
                 data = parse_data_line(line)
                 if data is None:
@@ -130,9 +142,10 @@
         return self.client.send("POST", f"{base}/v1/chat/completions", body, attempt)
 
 
-def _check_status(upstream: aiohttp.ClientResponse, body: bytes, resumes: bool) -> None:
+async def _check_status(upstream: aiohttp.ClientResponse, resumes: bool) -> None:
     if upstream.status == HTTP_OK:
         return
+    body = await read_body(upstream, MAX_PROBLEM_BYTES)
     text = body[:200].decode(errors="replace")
     if upstream.status == HTTP_NOT_FOUND and resumes:
         raise UpstreamAttemptLostError("the endpoint no longer has the response; retry")
--- a/verbenagrade/transport/platform.py
+++ b/verbenagrade/transport/platform.py
@@ -27,11 +27,15 @@
 )
 from verbenagrade.settings import PlatformSettings
 from verbenagrade.state.decoding import decode_json
+from verbenagrade.transport.checked_responses import read_body
 
 __all__ = ["object_store_port", "table_port", "vm_list_port"]
 
 Reply = TypeVar("Reply")
 
+MAX_RESPONSE_BYTES = 8_388_608
+"""Largest size of a page of rows or of an object, in bytes."""
+
 HTTP_NOT_FOUND = 404
 HTTP_PRECONDITION_FAILED = 412
 
@@ -142,7 +146,7 @@
 
 
 async def _read_success(response: aiohttp.ClientResponse) -> bytes:
-    data = await response.read()
+    data = await read_body(response, MAX_RESPONSE_BYTES)
     if not response.ok:
         raise PlatformError(
             f"{response.url}: status {response.status}; wait until it recovers"
--- a/verbenagrade/transport/service_response.py
+++ b/verbenagrade/transport/service_response.py
@@ -15,7 +15,7 @@
 from verbenagrade.transport.endpoint_connections import UNTAKEN_BYTES
 from verbenagrade.transport.response_ends import reset_connection
 
-__all__ = ["MAX_STORED_RESPONSE_BYTES", "ServiceResponse"]
+__all__ = ["MAX_STORED_RESPONSE_BYTES", "ServiceResponse", "may_keep"]
 
 MAX_STORED_RESPONSE_BYTES = 65_536
 """Size up to which a response is stored for a retried call, and kept in any case."""
@@ -27,6 +27,13 @@
 """Size of the parts in which a response is read and passed on, in bytes."""
 
 
+def may_keep(request: web.Request, size_bytes: int) -> bool:
+    """Returns whether so much of the response to a request may be kept whole."""
+    if size_bytes <= MAX_STORED_RESPONSE_BYTES:
+        return True
+    return request.protocol.hold_response(COPIES * size_bytes)
+
+
 class ServiceResponse:
     """The response to one call.
 
@@ -55,7 +62,7 @@
                 await self._write(data)
                 continue
             self.kept += data
-            if not self._may_keep():
+            if not may_keep(self.request, len(self.kept)):
                 await self._begin(upstream)
 
     async def finish(self, upstream: aiohttp.ClientResponse) -> web.StreamResponse:
@@ -76,12 +83,6 @@
         if self.request.transport is not None:
             reset_connection(self.request.transport)
 
-    def _may_keep(self) -> bool:
-        size_bytes = len(self.kept)
-        if size_bytes <= MAX_STORED_RESPONSE_BYTES:
-            return True
-        return self.request.protocol.hold_response(COPIES * size_bytes)
-
     async def _begin(self, upstream: aiohttp.ClientResponse) -> None:
         """Passes on what was kept."""
         self.response = web.StreamResponse(status=upstream.status, headers=self.headers)
--- a/verbenagrade/transport/tests/test_invalid_responses.py
+++ b/verbenagrade/transport/tests/test_invalid_responses.py
@@ -1,6 +1,7 @@
 """Tests that readers of a router take nothing but valid responses of a bounded size."""
 
 import asyncio
+import tracemalloc
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -25,7 +26,11 @@
 
 PARSERS = [http_parser.HttpResponseParser, http_parser.HttpResponseParserPy]
 TIMEOUT_S = 5.0
+REQUESTS_AT_ONCE = 8
+MAX_MEMORY_BYTES = 100_000_000
+MAX_SENT_BYTES = 15_000_000
 START = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = START + b"Transfer-Encoding: chunked\r\n\r\n"
 JSON = b'{"committed": true, "rows": [], "vms": [], "choices": [], "state": "never"}'
 LENGTH = b"Content-Length: %d\r\n" % len(JSON)
 INVALID = {
@@ -37,6 +42,14 @@
     "unknown coding": START + b"Transfer-Encoding: odd\r\n\r\n" + JSON,
     "bytes after the length": START + LENGTH + b"\r\n" + JSON + b"more",
 }
+ENDLESS = {
+    "body": (START + b"\r\n", b"x" * 65_536),
+    "lines": (START + b"\r\n", b"x" * 4_000 + b"\n"),
+    "chunks": (CHUNKED, b"10000\r\n%s\r\n" % (b"x" * 65_536)),
+    "events": (CHUNKED, b"10000\r\n%s\r\n" % (b"data: {}\n" * 8_000)[:65_536]),
+    "error": (b"HTTP/1.1 503 Away\r\n\r\n", b"x" * 65_536),
+    "head": (START, b"X: y\r\n" * 1_000),
+}
 
 
 @pytest.fixture(params=PARSERS, ids=["first-choice", "python"])
@@ -47,14 +60,24 @@
 
 @pytest.fixture
 async def server_of():
-    """Returns a function that starts a server that sends bytes, and returns its URL."""
+    """Returns a function that starts a server and returns its URL.
+
+    It sends ``begin``, and then ``repeated`` until its connection is closed.
+    """
     servers = []
 
-    async def start(data):
+    async def start(begin, repeated=b""):
         async def serve(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(data)
-            await writer.drain()
+            writer.write(begin)
+            sent_bytes = 0
+            while repeated and not writer.is_closing() and sent_bytes < MAX_SENT_BYTES:
+                writer.write(repeated)
+                sent_bytes += len(repeated)
+                try:
+                    await writer.drain()
+                except ConnectionError:
+                    break
             writer.close()
 
         servers.append(await asyncio.start_server(serve, "127.0.0.1", 0))
@@ -99,7 +122,7 @@
 
 
 async def complete(client, url) -> bytes:
-    return await engine_response(client, url).read_complete()
+    return await engine_response(client, url).read_complete(lambda _size: True)
 
 
 async def stream(client, url) -> list[bytes]:
@@ -148,6 +171,43 @@
                 await read()
 
 
+# Guards against a router that runs out of memory because an endpoint does not stop.
+@pytest.mark.parametrize("reader", ENDPOINT_READERS)
+@pytest.mark.parametrize("name", ENDLESS)
+async def test_response_without_end_is_read_within_the_memory(
+    parser, client, server_of, name, reader
+):
+    url = await server_of(*ENDLESS[name])
+    read = ENDPOINT_READERS[reader]
+    tracemalloc.start()
+    ends = await asyncio.gather(
+        *(read(client, url) for _ in range(REQUESTS_AT_ONCE)), return_exceptions=True
+    )
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    if reader != "service":
+        assert {isinstance(end, UpstreamFailedError) for end in ends} == {True}, ends
+    assert peak_bytes <= MAX_MEMORY_BYTES
+
+
+@pytest.mark.parametrize("name", ["body", "chunks", "error", "head"])
+async def test_endless_response_of_the_platform_keeps_to_the_memory(
+    parser, client, server_of, name
+):
+    url = await server_of(*ENDLESS[name])
+    async with checked_session() as session:
+        readers = platform_readers(session, url).values()
+        tracemalloc.start()
+        assert await client.close(url, "attempt") is None
+        ends = await asyncio.gather(
+            *(read() for read in readers), return_exceptions=True
+        )
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+    assert {isinstance(end, PlatformError) for end in ends} == {True}, ends
+    assert peak_bytes <= MAX_MEMORY_BYTES
+
+
 # Guards against a reader whose responses nobody checks.
 def test_all_sessions_check_their_responses():
     sources = Path(verbenagrade.__file__).parent.rglob("*.py")
