Count incomplete events in the memory of a gateway's callers

Nobody saw it yet: endpoints that send events without end took more memory than a gateway may take beside what its other calls need.

Cause: only complete events are passed on, and each stream kept up to 1 MB of an incomplete one whatever the others kept. Responses that are no streams ask the account of the callers for room first.

Fix: an incomplete event of more than 32 KB asks for room like a body, and gives it back when the event is complete. Without room, the attempt fails with an unknown outcome.

--- a/verbenagrade/transport/clients/counting.py
+++ b/verbenagrade/transport/clients/counting.py
@@ -166,6 +166,12 @@
         self.note_held()
         return True
 
+    def release_response(self) -> None:
+        """Counts a response, or a part of one, no more that is not kept any longer."""
+        if self.response_bytes:
+            self.response_bytes = 0
+            self.note_held()
+
     def pause_writing(self) -> None:
         """Notes that the client does not take the response as fast as it comes."""
         super().pause_writing()
--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -31,8 +31,8 @@
 """Copies of a response that is kept: what was read, and what is written."""
 
 MAX_EVENT_BYTES = 1_048_576
-"""Largest size of one event of a stream. Only complete events are passed on, so that
-this is what a stream keeps in memory."""
+"""Largest size of one event of a stream, in bytes. Only complete events are passed on,
+so that this is what a stream may keep in memory, if there is room for it."""
 
 
 SLICE_BYTES = 32_768
@@ -86,6 +86,7 @@
     def may_keep(self, size_bytes: int) -> bool:
         """Returns whether so much of a response may be kept before it is passed on."""
         if size_bytes <= SLICE_BYTES:
+            self.request.protocol.release_response()
             return True
         if size_bytes > MAX_BUFFERED_BYTES:
             return False
@@ -191,7 +192,7 @@
             # After the write, so that a slow caller is not taken for a slow endpoint.
             upstream.record_event()
             _record_events(progress, events, core.clock())
-        _check_rest(splitter, events)
+        _check_rest(writer, splitter, events)
         if not survived and progress.attempt_events >= MIN_SURVIVED_EVENTS:
             survived = True
             record_survival(core, call, progress.sent_at)
@@ -227,12 +228,20 @@
     return progress.last_event_id if resumable else ""
 
 
-def _check_rest(splitter: EventSplitter, events: CompleteEvents) -> None:
-    """Raises ``UpstreamFailedError`` if what follows complete events can't be one."""
+def _check_rest(
+    writer: ResponseWriter, splitter: EventSplitter, events: CompleteEvents
+) -> None:
+    """Raises ``UpstreamFailedError`` if what follows complete events can't be one.
+
+    Neither can what there is no room for until it is complete.
+    """
     if events.fault:
         raise UpstreamFailedError(events.fault)
-    if len(splitter.incomplete) > MAX_EVENT_BYTES:
+    size_bytes = len(splitter.incomplete)
+    if size_bytes > MAX_EVENT_BYTES:
         raise UpstreamFailedError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+    if not writer.may_keep(size_bytes):
+        raise UpstreamFailedError(f"no room for an event of {size_bytes} bytes")
 
 
 def _remaining_s(core: GatewayCore, call: Call) -> float:
