Test endpoints that respond and break off during an upload

Reported from another system: a 200 without a length, sent at once to a long upload and broken off by a reset, reached the client as complete.

--- a/verbenagrade/transport/tests/test_endpoint_client.py
+++ b/verbenagrade/transport/tests/test_endpoint_client.py
@@ -4,10 +4,10 @@
 import socket
 import struct
 
-import aiohttp
 import pytest
 
 from verbenagrade.exceptions import UpstreamFailedError
+from verbenagrade.transport.checked_responses import checked_session
 from verbenagrade.transport.endpoint_client import EndpointClient
 from verbenagrade.transport.sends import SentRequest, SingleSendConnector
 
@@ -15,8 +15,11 @@
 TIMEOUT_S = 5.0
 
 
-async def read(response, close):
-    """Returns the body that a client reads of a response, whose endpoint closes."""
+async def read(response, close, upload=None):
+    """Returns the body that a client reads of a response, whose endpoint closes.
+
+    The endpoint does not read the body of the call, ``upload``.
+    """
 
     async def serve(reader, writer):
         """Sends the response, and ends the connection or the whole endpoint."""
@@ -35,9 +38,9 @@
     url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/x"
     connector = SingleSendConnector(limit=0, force_close=True)
     sent = SentRequest()
-    async with server, aiohttp.ClientSession(connector=connector) as session:
+    async with server, checked_session(connector=connector) as session:
         client = EndpointClient(session, TIMEOUT_S, TIMEOUT_S)
-        async with client.send("GET", url, None, "attempt", sent=sent) as upstream:
+        async with client.send("POST", url, upload, "attempt", sent=sent) as upstream:
             body = await upstream.read()
             await client.check_end(upstream, sent)
             return body
@@ -65,3 +68,12 @@
     async with asyncio.timeout(TIMEOUT_S / 2):
         with pytest.raises(UpstreamFailedError):
             await read(head + b"3\r\nall\r\njunk\r\n", "close")
+
+
+# Guards against the part of a body that is told as a complete one because the endpoint
+# responds and breaks off while the call is still sent.
+@pytest.mark.parametrize("framing", [b"", b"Content-Length: 99\r\n"])
+@pytest.mark.parametrize("size_bytes", [300_000, 3_000_000])
+async def test_body_that_breaks_off_in_an_upload_is_not_complete(size_bytes, framing):
+    with pytest.raises(UpstreamFailedError):
+        await read(framing + b"\r\npart", "reset", upload=bytes(size_bytes))
