--- a/verbenagrade/conftest.py
+++ b/verbenagrade/conftest.py
@@ -3,12 +3,14 @@
 from pathlib import Path
 
 import pytest
+from aiohttp import client_proto, http_parser
 
 from verbenagrade.tests.fleet import Fleet, Layout
 from verbenagrade.tests.golden import GoldenTranscript
 
 KNOWN_FAILURES_FILE = "KNOWN-RED.txt"
 ENTRY_PREFIX = "test: "
+PARSERS = [http_parser.HttpResponseParser, http_parser.HttpResponseParserPy]
 SHORT_TIMING = {
     "journal_s": 0.3,
     "settle_s": 0.1,
@@ -56,6 +58,15 @@
     )
 
 
+@pytest.fixture(params=PARSERS, ids=["first-choice", "python"])
+def parser(request, monkeypatch):
+    """Has responses parsed by one of the parsers that the HTTP library has.
+
+    One is written in C, and one in Python for where its extension is missing.
+    """
+    monkeypatch.setattr(client_proto, "HttpResponseParser", request.param)
+
+
 @pytest.fixture
 def golden(request):
     """Returns the golden file of the test."""
--- a/verbenagrade/metrics/gateway.py
+++ b/verbenagrade/metrics/gateway.py
@@ -34,9 +34,6 @@
             "Responses of endpoints, by framing (length, chunks, connection) and by"
             " result: complete, or the failure.",
         )
-        self.responses_invalid = self.counter(
-            "responses_invalid", "Responses that were not valid ones of an endpoint."
-        )
         self.store_away = self.counter(
             "store_away", "Requests to the store without a response."
         )
@@ -74,10 +71,13 @@
         )
 
     def _add_endpoint_metrics(self) -> None:
-        """Adds the metrics of limits, versions of streams, and ways to endpoints."""
+        """Adds the metrics of responses, limits, versions, and ways to endpoints."""
         self.limited_endpoints = self.gauge(
             "limited_endpoints", "Endpoints that have named a limit on calls."
         )
+        self.responses_invalid = self.counter(
+            "responses_invalid", "Responses that were not valid ones of an endpoint."
+        )
         self.permits_missing = self.counter(
             "permits_missing",
             "Choices of an endpoint whose limit left no call for this VM.",
--- a/verbenagrade/transport/checked_responses.py
+++ b/verbenagrade/transport/checked_responses.py
@@ -67,7 +67,7 @@
             if isinstance(error, InvalidResponseError):
                 raise
             raise InvalidResponseError(
-                f"the head can't be parsed: {error.message}"
+                f"what came can't be parsed: {error.message}"
             ) from error
         return self
 
--- a/verbenagrade/transport/endpoint_client.py
+++ b/verbenagrade/transport/endpoint_client.py
@@ -1,8 +1,8 @@
 """HTTP client for endpoints."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import replace
 
 import aiohttp
@@ -77,7 +77,7 @@
         and ``UpstreamFailedError`` if the endpoint failed after that.
         """
         headers = {ATTEMPT_HEADER: attempt, "Content-Type": content_type}
-        try:
+        with _endpoint_errors(url, attempt):
             with send_once(sent) as recorded:
                 response = await self.session.request(
                     method, url, data=body, headers=headers, timeout=self.timeout
@@ -85,29 +85,6 @@
             fail_body_at_close(response, recorded.closed)
             async with response:
                 yield response
-        except InvalidResponseError as error:
-            log_event(
-                Event.RESPONSE_INVALID, call=attempt, endpoint=url, reason=str(error)
-            )
-            raise UpstreamFailedError(
-                f"{url}: {error}; ask for the outcome before a retry"
-            ) from error
-        except VerbenagradeError:
-            raise
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamUnreachableError(
-                f"{url}: connection failed; retry in a second"
-            ) from error
-        except (aiohttp.ServerTimeoutError, TimeoutError) as error:
-            raise UpstreamTimeoutError(
-                f"{url}: no progress; ask for the outcome before a retry"
-            ) from error
-        # The library raises ``ValueError`` for a line that is too long, and an error of
-        # its parser if that is written in Python.
-        except (aiohttp.ClientError, HttpProcessingError, ValueError) as error:
-            raise UpstreamFailedError(
-                f"{url}: {type(error).__name__}; ask for the outcome before a retry"
-            ) from error
 
     async def check_end(
         self, response: aiohttp.ClientResponse, sent: SentRequest
@@ -147,3 +124,31 @@
                 )
         except (aiohttp.ClientError, TimeoutError, UndecodableError):
             return None
+
+
+@contextmanager
+def _endpoint_errors(url: str, attempt: str) -> Iterator[None]:
+    """Raises the errors of ``EndpointClient.send`` in place of the library's."""
+    try:
+        yield
+    except InvalidResponseError as error:
+        log_event(Event.RESPONSE_INVALID, call=attempt, endpoint=url, reason=str(error))
+        raise UpstreamFailedError(
+            f"{url}: {error}; ask for the outcome before a retry"
+        ) from error
+    except VerbenagradeError:
+        raise
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise UpstreamUnreachableError(
+            f"{url}: connection failed; retry in a second"
+        ) from error
+    except (aiohttp.ServerTimeoutError, TimeoutError) as error:
+        raise UpstreamTimeoutError(
+            f"{url}: no progress; ask for the outcome before a retry"
+        ) from error
+    # The library raises ``ValueError`` for a line that is too long, and an error of its
+    # parser if that is written in Python.
+    except (aiohttp.ClientError, HttpProcessingError, ValueError) as error:
+        raise UpstreamFailedError(
+            f"{url}: {type(error).__name__}; ask for the outcome before a retry"
+        ) from error
--- a/verbenagrade/transport/gateway/relay_server.py
+++ b/verbenagrade/transport/gateway/relay_server.py
@@ -170,10 +170,9 @@
         await response.prepare(request)
         events = EventCounter()
         try:
-            with report_invalid(core, _read_head(core, relayed).call_id, entry):
-                while data := await read_chunk(upstream, _remaining_s(core, relayed)):
-                    events.feed(data)
-                    await response.write(data)
+            async for data in _body(core, relayed, entry, upstream):
+                events.feed(data)
+                await response.write(data)
             end = ResponseEnd(read_framing(upstream), ended_with_reset(sent.closed))
             await check_end(core, entry, end, relayed.deadline)
         except UpstreamFailedError as error:
@@ -194,6 +193,18 @@
         return response
 
 
+async def _body(
+    core: GatewayCore,
+    relayed: RelayedCall,
+    entry: EndpointEntry,
+    upstream: aiohttp.ClientResponse,
+) -> AsyncIterator[bytes]:
+    """Yields the body as it arrives; raises the same errors as ``read_chunk``."""
+    with report_invalid(core, _read_head(core, relayed).call_id, entry):
+        while data := await read_chunk(upstream, _remaining_s(core, relayed)):
+            yield data
+
+
 def _remaining_s(core: GatewayCore, relayed: RelayedCall) -> float:
     """Returns the time left in seconds; raises ``UpstreamTimeoutError`` without any."""
     remaining_s = relayed.deadline - core.clock()
