Ask for room only for incomplete events of more than 128 KB

Callers saw, with: a stream of events of 60 KB ended with 502 while many clients took nothing of theirs.

Cause: an incomplete event of more than 32 KB asked the account of the callers for room, which a crowd had used up. A body that finds no room is passed on in parts; an event can't be, so that its stream broke off.

Fix: each stream keeps up to 128 KB of an incomplete event without asking.

--- a/verbenagrade/transport/gateway/delivery.py
+++ b/verbenagrade/transport/gateway/delivery.py
@@ -34,6 +34,10 @@
 """Largest size of one event of a stream, in bytes. Only complete events are passed on,
 so that this is what a stream may keep in memory, if there is room for it."""
 
+FREE_EVENT_BYTES = 131_072
+"""Size of an incomplete event up to which a stream keeps it, whether there is room or
+not, in bytes. Unlike a body, an event can't be passed on in parts."""
+
 
 SLICE_BYTES = 32_768
 """Size of the parts in which a response is written, in bytes. The next one is written
@@ -86,12 +90,18 @@
     def may_keep(self, size_bytes: int) -> bool:
         """Returns whether so much of a response may be kept before it is passed on."""
         if size_bytes <= SLICE_BYTES:
-            self.request.protocol.release_response()
             return True
         if size_bytes > MAX_BUFFERED_BYTES:
             return False
         return self.request.protocol.hold_response(RESPONSE_COPIES * size_bytes)
 
+    def may_keep_event(self, size_bytes: int) -> bool:
+        """Returns whether so much of an incomplete event may be kept."""
+        if size_bytes <= FREE_EVENT_BYTES:
+            self.request.protocol.release_response()
+            return True
+        return self.may_keep(size_bytes)
+
     def find_mismatch(self, upstream: UpstreamResponse) -> str:
         """Returns why a response can't go on one that has begun, empty if it can."""
         if self.response is None:
@@ -240,7 +250,7 @@
     size_bytes = len(splitter.incomplete)
     if size_bytes > MAX_EVENT_BYTES:
         raise UpstreamFailedError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-    if not writer.may_keep(size_bytes):
+    if not writer.may_keep_event(size_bytes):
         raise UpstreamFailedError(f"no room for an event of {size_bytes} bytes")
 
 
