Ask VMs that the store turns away before their tokens are granted again

Callers saw: nothing; a workspace got 110.0 to 111.5% of what it had prepaid. The store came back from an older copy, served three VMs and turned away the fourth, which held the workspace's tokens and went on spending them.

Cause: after a return, a VM granted again a fixed time after it had seen the new era. The holder can restore what it was granted since the copy only once the store serves it, 8.2 s after the others saw the era. Nobody asked it, though its peers reached it all the while.

Fix: each VM tells in its row of the fleet's table in which era it has restored its budgets. From half of era_settle_s on, VMs that have not told are asked over the connections for reservations. One that is asked first enters the era that it is told, so that no grant of an earlier era can count any more, and replies with the states that the store may have lost; whoever asked restores them like its own. Nothing is granted from a budget before each VM has told. One that can't be asked either is awaited for era_silence_s, 10 s, as rows of VMs that are lost for good stay. VMs of builds that do not tell are not awaited.

Not covered: a VM that dies with what it alone knows (listed), one that is cut off from the store and from all others for longer, a second return before the first has settled.

--- a/verbenagrade/coordination/accounts.py
+++ b/verbenagrade/coordination/accounts.py
@@ -1,7 +1,7 @@
 """A VM's account of one prepaid budget: cached store rows and its allowance."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -14,11 +14,13 @@
     UnreadableRowError,
 )
 from verbenagrade.state.allowance import Allowance, BudgetView
-from verbenagrade.state.decoding import Count, Number, decode_json
+from verbenagrade.state.decoding import Number, decode_json
 from verbenagrade.state.shards import (
     SHARD_COUNT,
+    ShardState,
     ShardTransfer,
     choose_transfers,
+    latest_state,
     shard_limit,
     shard_order,
 )
@@ -27,7 +29,6 @@
     "BudgetAccount",
     "CachedRow",
     "GrantRow",
-    "ShardState",
     "apply_confirmed_grant",
     "decode_cached_row",
     "log_grant_adjusted",
@@ -37,20 +38,6 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class ShardState:
-    """The row of a shard in an era of the store, at a version.
-
-    Of two states the one of the later era, or with the higher version, is later.
-    It then contains all grants that the other one contains.
-    """
-
-    era: Count = 0
-    version: Count = 0
-    tokens: Number = 0
-    spent: Number = 0
-
-
 @dataclass(frozen=True, slots=True)
 class GrantRow:
     """The stored value of a row of the table ``grants``.
@@ -127,8 +114,10 @@
 
     Each ``era`` of the store has rows of its own, so that a transaction of an earlier
     era which is committed late changes nothing. ``known_states`` are the latest states
-    of the shards in earlier eras. ``must_restore`` is true until they are in the rows
+    of the shards in earlier eras. ``is_unrestored`` is true until they are in the rows
     of this era, and ``is_restored`` if the budget had rows in an earlier era.
+    ``told_states`` are later ones that other VMs know and have not restored, until
+    they are in the rows, too. ``told_by`` are the VMs that were asked for theirs.
     """
 
     def __init__(self, workspace: str, vm: str, now: float, era: int) -> None:
@@ -136,8 +125,10 @@
         self.vm = vm
         self.era = era
         self.known_states: dict[int, ShardState] = {}
-        self.must_restore = era > 0
+        self.is_unrestored = era > 0
         self.is_restored = False
+        self.told_states: dict[int, ShardState] = {}
+        self.told_by: set[str] = set()
         self.allowance = Allowance(now)
         self.shard_order = shard_order(workspace, vm)
         self.shards = [CachedRow() for _ in range(SHARD_COUNT)]
@@ -159,14 +150,28 @@
         """The key of the row of this VM in this era of the store."""
         return f"{_budget_prefix(self.workspace, self.era)}vm/{self.vm}"
 
+    @property
+    def must_restore(self) -> bool:
+        """Whether states of earlier eras are still to be written into this one."""
+        return self.is_unrestored or bool(self.told_states)
+
+    def learn_states(self, vm: str, states: Mapping[int, ShardState]) -> None:
+        """Learns what another VM knows of the shards in earlier eras."""
+        self.told_by.add(vm)
+        for shard, state in states.items():
+            if shard not in range(SHARD_COUNT) or state.era >= self.era:
+                continue
+            known = self.told_states.get(shard, ShardState())
+            self.told_states[shard] = latest_state(known, state)
+
     def enter_era(self, era: int) -> None:
         """Moves on to the rows of a later era of the store.
 
         The tokens of this VM stay granted. Those in a return that may have been
         committed count as returned, and those of a grant without a confirmation as
-        not granted.
+        not granted. Other VMs are asked again for what they know.
         """
-        if not self.must_restore:
+        if not self.is_unrestored:
             self.known_states = {
                 shard: row.state_in(self.era)
                 for shard, row in enumerate(self.shards)
@@ -180,8 +185,10 @@
         self.pending_return = 0
         self.must_reload = False
         self.is_loaded = False
-        self.must_restore = True
+        self.is_unrestored = True
         self.is_restored = True
+        self.told_states = {}
+        self.told_by = set()
 
     @property
     def granted(self) -> int:
--- a/verbenagrade/coordination/allowances.py
+++ b/verbenagrade/coordination/allowances.py
@@ -64,7 +64,8 @@
     to hold. ``clock`` returns seconds.
     ``eras`` tells when the store has lost recent transactions. ``spending`` reports to
     the store what this VM spends; without it, what an earlier incarnation held counts
-    as spent.
+    as spent. ``awaits_peers`` tells whether other VMs may hold grants of a budget that
+    are not in the present era of the store yet.
     """
 
     def __init__(
@@ -95,6 +96,7 @@
         )
         self.store = StoreAvailability(clock)
         self.refills: set[asyncio.Task[None]] = set()
+        self.awaits_peers: Callable[[BudgetAccount, float], bool] = lambda *_: False
 
     def set_prepaid(self, workspace: str, prepaid: int) -> None:
         """Sets the prepaid tokens of a workspace.
@@ -245,7 +247,7 @@
         """Moves all accounts on to the present era of the store.
 
         What this VM holds can be spent as before. Nothing new is granted until what
-        was lost is restored and the other VMs had the time to do so as well.
+        was lost is restored, by the other VMs as well.
         """
         for account in self.accounts.values():
             if account.era != self.eras.number:
@@ -262,8 +264,9 @@
         )
 
     def _is_settling(self, account: BudgetAccount) -> bool:
+        now = self.clock()
         settled_at = self.eras.since + self.tuning.era_settle_s
-        return account.is_settling(settled_at, self.clock())
+        return account.is_settling(settled_at, now) or self.awaits_peers(account, now)
 
     def _schedule_refill_if_low(self, account: BudgetAccount) -> None:
         """Schedules a refill in the background if few free tokens are left."""
--- a/verbenagrade/coordination/budget_holder.py
+++ b/verbenagrade/coordination/budget_holder.py
@@ -3,15 +3,18 @@
 from dataclasses import dataclass
 
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.restorations import unrestored_states
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import BudgetExhaustedError, UnavailableError
 from verbenagrade.state.reservation_orders import (
     FreeTokens,
     FreeTokensOrder,
+    KnownStates,
     ReserveOrder,
     ReserveResult,
     ReserveStatus,
     SettleOrder,
+    StatesOrder,
 )
 from verbenagrade.state.reservations import SpenderAccount
 
@@ -106,6 +109,16 @@
         held = self.manager.held_tokens(order.workspace)
         return FreeTokens(order.number, held.at_once, held.free)
 
+    def known_states(self, spender: SpenderProcess, order: StatesOrder) -> KnownStates:
+        """Returns what this VM knows of budgets and has not restored in the era.
+
+        From then on it obtains no tokens from rows of an earlier era, so that the
+        states contain all that it was granted there.
+        """
+        self.manager.eras.learn(order.era, spender.vm)
+        states = unrestored_states(self.manager.accounts, order.workspaces)
+        return KnownStates(order.number, self.manager.eras.number, states)
+
     def charge_replaced(self, vm: str, incarnation: str) -> None:
         """Charges in full what earlier processes of a VM have not settled.
 
--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -93,7 +93,7 @@
         self.memory = CrashMemory()
         self.poison_calls = self.memory.poison_calls
         self.suspects = self.memory.suspects
-        self.announced_in = NO_ERA
+        self.announced: tuple[int, PresenceRow] | None = None
         self.own_reports: dict[str, int] = {}
         self.crash_times: OrderedDict[str, float] = OrderedDict()
         self.removals: OrderedDict[str, None] = OrderedDict()
@@ -121,17 +121,17 @@
                 self.forget_crash(key)
         self.loaded = True
 
-    async def announce(self) -> None:
-        """Writes this VM's row, once for each incarnation and era of the store.
+    async def announce(self, restored_in: int) -> None:
+        """Writes this VM's row, again in each era of the store and if it has changed.
 
-        Raises ``PlatformError`` if the store does not respond.
+        ``restored_in`` is what it tells of its budgets. Raises ``PlatformError`` if the
+        store does not respond.
         """
-        era = self.eras.number
-        if self.announced_in != era:
+        presence = msgspec.structs.replace(self.presence, restored_in=restored_in)
+        if self.announced != (announced := (self.eras.number, presence)):
             key = f"{FLEET_TABLE}//vm/{self.vm}"
-            value = msgspec.json.encode(self.presence)
-            await self._commit((Write(key, value),))
-            self.announced_in = era
+            await self._commit((Write(key, msgspec.json.encode(presence)),))
+            self.announced = announced
 
     async def withdraw(self) -> None:
         """Removes this VM's row, or logs that the store does not respond."""
--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -14,7 +14,6 @@
 from verbenagrade.coordination.accounts import (
     BudgetAccount,
     CachedRow,
-    ShardState,
     apply_confirmed_grant,
     decode_cached_row,
     log_grant_adjusted,
@@ -32,7 +31,7 @@
 from verbenagrade.coordination.store_availability import StoreAvailability
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
-from verbenagrade.state.shards import SHARD_COUNT
+from verbenagrade.state.shards import SHARD_COUNT, ShardState, latest_state
 
 __all__ = ["MAX_TRANSACTIONS_PER_TRANSFER", "GrantTransactions"]
 
@@ -224,7 +223,8 @@
     async def restore(self, account: BudgetAccount) -> None:
         """Writes into this era what is known of the shards in earlier ones.
 
-        Each shard ends up in the latest state that the copy or a VM has of it. Raises
+        Each shard ends up in the latest state that the copy, this VM or one that told
+        it has of it. Raises
         ``PlatformError`` if the store does not respond, or if other VMs restore the
         same budget again and again at the same time.
         """
@@ -242,8 +242,9 @@
                 f"{account.workspace}: restored by other VMs too; read again"
             )
         account.is_restored |= any(row.origin for row in account.shards)
-        account.must_restore = False
+        account.is_unrestored = False
         account.known_states = {}
+        account.told_states = _not_contained(account)
         log_event(
             Event.BUDGET_RESTORED,
             workspace=account.workspace,
@@ -293,9 +294,12 @@
 def _missing_in(
     account: BudgetAccount, present: Mapping[int, CachedRow]
 ) -> dict[int, CachedRow]:
-    """Returns the shards whose rows lack what the copy or this VM knows of them."""
+    """Returns the shards whose rows lack what the copy or a VM knows of them."""
+    sources = (account.known_states, account.told_states)
     restored = {
-        shard: row.restored_from(account.known_states.get(shard, ShardState()))
+        shard: row.restored_from(
+            latest_state(*(states.get(shard, ShardState()) for states in sources))
+        )
         for shard, row in present.items()
     }
     return {
@@ -303,6 +307,15 @@
     }
 
 
+def _not_contained(account: BudgetAccount) -> dict[int, ShardState]:
+    """Returns the states that other VMs have told since the rows were written."""
+    return {
+        shard: state
+        for shard, state in account.told_states.items()
+        if account.shards[shard].restored_from(state) is not account.shards[shard]
+    }
+
+
 def _first_row(row: Row, era: int) -> CachedRow:
     """Returns the first row of a shard in a new era, from its row in an earlier one."""
     earlier = decode_cached_row(row, "")
--- a/verbenagrade/coordination/presence_rows.py
+++ b/verbenagrade/coordination/presence_rows.py
@@ -4,7 +4,7 @@
 
 from verbenagrade.coordination.codec import decode_or_ignore, log_ignored
 from verbenagrade.coordination.ports import Row
-from verbenagrade.state.decoding import is_address
+from verbenagrade.state.decoding import Count, is_address
 from verbenagrade.state.relay_peers import RelayPeer
 
 __all__ = ["PresenceRow", "decode_peer"]
@@ -15,12 +15,15 @@
 
     ``relay_address`` is where it takes calls of other VMs, and ``reservation_address``
     where it takes their reservations of tokens; each is empty if it takes none.
+    ``restored_in`` is the era of the store in which all that the process knows of
+    budgets is in the store; builds that don't tell leave it out.
     """
 
     incarnation: str
     relay_address: str = ""
     data_centre: str = ""
     reservation_address: str = ""
+    restored_in: Count | None = None
 
 
 def decode_peer(vm: str, row: Row) -> RelayPeer | None:
@@ -42,4 +45,5 @@
         content.relay_address,
         content.data_centre,
         content.reservation_address,
+        content.restored_in,
     )
--- a/verbenagrade/coordination/store_eras.py
+++ b/verbenagrade/coordination/store_eras.py
@@ -62,10 +62,24 @@
             return
         if current == mark.era:
             return
-        previous, self.current = self.current, mark.era
+        self._enter(mark.era, told_by="")
+
+    def learn(self, era: int, vm: str) -> None:
+        """Takes notice of a newer era, of which another VM tells.
+
+        The store may serve that VM and turn this one away. A response of an earlier era
+        that still arrives is dropped.
+        """
+        if era > self.number:
+            self._enter(era, told_by=vm)
+
+    def _enter(self, era: int, told_by: str) -> None:
+        previous, self.current = self.current, era
         self.since = self.clock()
         if previous is not None:
-            log_event(Event.STORE_ERA_CHANGED, previous=previous, era=mark.era)
+            log_event(
+                Event.STORE_ERA_CHANGED, previous=previous, era=era, told_by=told_by
+            )
             self.on_change()
 
     def _log_invalid(self, text: str) -> None:
--- a/verbenagrade/coordination/tests/test_crashing_parts.py
+++ b/verbenagrade/coordination/tests/test_crashing_parts.py
@@ -133,7 +133,7 @@
             return
         self.next_maintenance = self.clock() + 1.0
         try:
-            await self.fleet.announce()
+            await self.fleet.announce(0)
             await self.fleet.write_reports()
         except PlatformError:
             pass
@@ -354,7 +354,7 @@
 async def test_wrong_suspicion_ends():
     site = Site(0, "none")
     fleet = site.vms[0].fleet
-    await fleet.announce()
+    await fleet.announce(0)
     for number in range(3):
         site.clock.now += 1.0
         await fleet.report_suspects(("p",), f"i-{number}@0", site.clock())
@@ -372,7 +372,7 @@
 async def test_part_is_tried_again_soon_after_a_second_conviction():
     site = Site(0, "none")
     fleet = site.vms[0].fleet
-    await fleet.announce()
+    await fleet.announce(0)
     for round_number in range(2):
         for number in range(3):
             site.clock.now += 1.0
--- a/verbenagrade/coordination/tests/test_store_eras.py
+++ b/verbenagrade/coordination/tests/test_store_eras.py
@@ -13,21 +13,27 @@
 
 from verbenagrade.coordination.accounts import GrantRow
 from verbenagrade.coordination.allowances import AllowanceManager
+from verbenagrade.coordination.budget_holder import BudgetHolder, SpenderProcess
+from verbenagrade.coordination.peer_restorations import PeerRestorations
 from verbenagrade.coordination.ports import (
     CommitResult,
     EraMark,
     PlatformStore,
     Row,
 )
+from verbenagrade.coordination.restorations import restored_era
 from verbenagrade.coordination.spending_reports import SpendingReports, VmIdentity
 from verbenagrade.coordination.store_eras import StoreEras, guard_eras
 from verbenagrade.exceptions import (
     BudgetExhaustedError,
     EraChangedError,
+    PeerUnreachableError,
     PlatformError,
     UnavailableError,
 )
 from verbenagrade.settings.gateway import TuningSettings
+from verbenagrade.state.holders import HolderRanking, HolderVm
+from verbenagrade.state.reservation_orders import StatesOrder
 from verbenagrade.state.shards import SHARD_COUNT
 
 BUDGET = "hotel"
@@ -49,7 +55,7 @@
     Versions then go back and are given out again, and the era rises by one. The
     response to the next commit is lost if ``fault`` is ``"lost"``; the commit itself
     waits for ``apply_delayed`` if it is ``"delayed"``. While ``unavailable`` is set, no
-    request gets a response.
+    request gets a response, and none of the VMs in ``turned_away`` ever.
     """
 
     def __init__(self, clock: FakeClock) -> None:
@@ -60,6 +66,7 @@
         self.copy = ({}, 0)
         self.fault = ""
         self.unavailable = False
+        self.turned_away: set[str] = set()
         self.delayed: list = []
 
     def take_copy(self) -> None:
@@ -69,21 +76,21 @@
         self.rows, self.version = dict(self.copy[0]), self.copy[1]
         self.era += 1
 
-    def port(self, eras: StoreEras) -> PlatformStore:
+    def port(self, eras: StoreEras, vm: str = "") -> PlatformStore:
         async def read(keys):
-            self._raise_if_unavailable()
+            self._raise_if_unavailable(vm)
             self._observe(eras)
             return tuple(self.rows.get(key) for key in keys)
 
         async def scan(prefix):
-            self._raise_if_unavailable()
+            self._raise_if_unavailable(vm)
             self._observe(eras)
             return tuple(
                 row for key, row in sorted(self.rows.items()) if key.startswith(prefix)
             )
 
         async def commit(checks, writes):
-            self._raise_if_unavailable()
+            self._raise_if_unavailable(vm)
             if self.fault == "delayed":
                 self.fault = ""
                 self.delayed.append((checks, writes))
@@ -97,8 +104,8 @@
 
         return guard_eras(PlatformStore(read, scan, commit, None, None), eras)
 
-    def _raise_if_unavailable(self) -> None:
-        if self.unavailable:
+    def _raise_if_unavailable(self, vm: str) -> None:
+        if self.unavailable or vm in self.turned_away:
             raise PlatformError("unavailable")
 
     def apply_delayed(self) -> None:
@@ -122,7 +129,11 @@
 
 
 class Fleet:
-    """VMs that spend one budget from a store; ``spent`` counts their tokens."""
+    """VMs that spend one budget from a store; ``spent`` counts their tokens.
+
+    ``announced`` has the era in which each VM says to have restored its budgets. The
+    VMs reach each other except for those in ``unreachable``.
+    """
 
     def __init__(self) -> None:
         self.clock = FakeClock()
@@ -130,6 +141,9 @@
         self.prepaid = PREPAID
         self.spent = 0
         self.starts = 0
+        self.announced: dict[str, int] = {}
+        self.unreachable: set[str] = set()
+        self.restorations: dict[str, PeerRestorations] = {}
         self.managers = [self.start(n) for n in range(VMS)]
 
     def start(self, vm: int) -> AllowanceManager:
@@ -137,7 +151,7 @@
         eras = StoreEras(self.clock)
         eras.observe(EraMark(self.store.era), None)
         identity = VmIdentity(f"vm-{vm}", f"10.0.0.{vm}:80", f"vm-{vm}-{self.starts}")
-        port = self.store.port(eras)
+        port = self.store.port(eras, identity.vm)
         manager = AllowanceManager(
             port,
             identity.vm,
@@ -150,8 +164,25 @@
         eras.on_change = manager.enter_era
         manager.vm_count = manager.planner.holder_count = VMS
         manager.set_prepaid(BUDGET, self.prepaid)
+        self.restorations[manager.vm] = self._connect(manager)
         return manager
 
+    def _connect(self, manager: AllowanceManager) -> PeerRestorations:
+        """Returns what a VM learns from the others, whose replies arrive at once."""
+        vms = [HolderVm(f"vm-{vm}", "", "muscat-a") for vm in range(VMS)]
+        ranking = HolderRanking(next(it for it in vms if it.vm == manager.vm))
+        ranking.update(vms)
+        spender = SpenderProcess(manager.vm, manager.incarnation)
+
+        async def ask(holder, era, workspaces):
+            if {holder.vm, manager.vm} & self.unreachable:
+                raise PeerUnreachableError(f"{holder.vm} is not reached")
+            other = next(it for it in self.managers if it.vm == holder.vm)
+            order = StatesOrder(1, era, workspaces)
+            return BudgetHolder(other).known_states(spender, order)
+
+        return PeerRestorations(manager, ranking, ask, self.clock)
+
     async def call(self, vm: int, tokens: int) -> bool:
         """Serves a call that uses all its tokens, if the VM can reserve them."""
         try:
@@ -185,11 +216,22 @@
                     await manager.table.read(("op//config",))
                 with suppress(PlatformError):
                     await manager.report_spending()
+                await self._learn_from_peers(manager)
                 await manager.restore_budgets()
                 await manager.prefetch_grants()
                 await manager.rebalance()
                 await self._finish_refills()
 
+    async def _learn_from_peers(self, manager: AllowanceManager) -> None:
+        """Announces a VM and reads the rows of the others, if it reaches the store."""
+        restorations = self.restorations[manager.vm]
+        if not (self.store.unavailable or manager.vm in self.store.turned_away):
+            accounts, era = manager.accounts.values(), manager.eras.number
+            self.announced[manager.vm] = restored_era(accounts, era)
+            others = self.announced.items()
+            restorations.update({vm: era for vm, era in others if vm != manager.vm})
+        await restorations.ask_peers()
+
     async def read_shards_except(self, vm: int) -> None:
         """Lets all other VMs read the shards of the budget."""
         for number, manager in enumerate(self.managers):
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -160,6 +160,16 @@
     STORE_ERA_INVALID = (514, logbook.WARNING, "era of the store missing or invalid")
     BUDGET_RESTORED = (515, logbook.INFO, "rows of a budget restored in a new era")
     STORE_ERA_DATED = (516, logbook.INFO, "start of the era of the store known")
+    PEER_STATES_LEARNED = (
+        517,
+        logbook.INFO,
+        "another VM told which grants it has not restored",
+    )
+    PEER_SILENT = (
+        518,
+        logbook.WARNING,
+        "tokens granted again although VMs did not tell what they were granted",
+    )
     RESOURCE_ACCEPTED = (502, logbook.INFO, "resource accepted")
 
     @property
--- a/verbenagrade/platform/tests/conftest.py
+++ b/verbenagrade/platform/tests/conftest.py
@@ -99,10 +99,10 @@
         self.gateway_task = asyncio.create_task(self.gateway.run(self.stop))
         await self.wait_until(lambda: len(self.gateway.runners) == LISTENERS)
 
-    async def start_another(self, store_address="") -> None:
+    async def start_another(self, store_address="", tuning=None) -> None:
         """Starts one more gateway on the same store; ``stop`` ends it too."""
         gateway = self._new_gateway(
-            f"front-{len(self.others) + 2}", None, BOUNDS, store_address
+            f"front-{len(self.others) + 2}", tuning, BOUNDS, store_address
         )
         self.others.append(gateway)
         self.other_tasks.append(asyncio.create_task(gateway.run(self.stop)))
--- a/verbenagrade/protocol/reservations.py
+++ b/verbenagrade/protocol/reservations.py
@@ -13,9 +13,11 @@
 from verbenagrade.state.reservation_orders import (
     FreeTokens,
     FreeTokensOrder,
+    KnownStates,
     ReserveOrder,
     ReserveResult,
     SettleOrder,
+    StatesOrder,
 )
 
 __all__ = [
@@ -68,6 +70,7 @@
     reserve: tuple[ReserveOrder, ...] = ()
     settle: tuple[SettleOrder, ...] = ()
     free: tuple[FreeTokensOrder, ...] = ()
+    states: tuple[StatesOrder, ...] = ()
 
 
 class Results(msgspec.Struct, frozen=True, array_like=True):
@@ -79,6 +82,7 @@
     reserved: tuple[ReserveResult, ...] = ()
     settled: tuple[int, ...] = ()
     free: tuple[FreeTokens, ...] = ()
+    states: tuple[KnownStates, ...] = ()
 
 
 def prove_side(key: bytes, side: bytes, challenge: Challenge, hello: Hello) -> bytes:
--- a/verbenagrade/settings/gateway.py
+++ b/verbenagrade/settings/gateway.py
@@ -128,6 +128,14 @@
             " seconds."
         ),
     ] = 4.0
+    era_silence_s: Annotated[
+        Seconds,
+        Meta(
+            description="Time after the store came back from an older copy during which"
+            " no tokens are granted while a VM neither reaches the store nor can be"
+            " asked what it was granted, in seconds."
+        ),
+    ] = 10.0
     log_lines_per_s: Annotated[
         Count,
         Meta(
--- a/verbenagrade/state/relay_peers.py
+++ b/verbenagrade/state/relay_peers.py
@@ -14,7 +14,8 @@
     """A VM, its present process, and the addresses for requests of others, ``IP:PORT``.
 
     ``address`` takes calls to endpoints and ``reservation_address`` reservations of
-    tokens; the latter is empty if the VM takes none.
+    tokens; the latter is empty if the VM takes none. ``restored_in`` is the era of the
+    store in which it has restored its budgets, ``None`` if its build does not tell.
     """
 
     vm: str
@@ -22,6 +23,7 @@
     address: str
     data_centre: str
     reservation_address: str = ""
+    restored_in: int | None = None
 
 
 class RelayPeers:
--- a/verbenagrade/state/reservation_orders.py
+++ b/verbenagrade/state/reservation_orders.py
@@ -4,13 +4,17 @@
 
 import msgspec
 
+from verbenagrade.state.shards import ShardState
+
 __all__ = [
     "FreeTokens",
     "FreeTokensOrder",
+    "KnownStates",
     "ReserveOrder",
     "ReserveResult",
     "ReserveStatus",
     "SettleOrder",
+    "StatesOrder",
 ]
 
 
@@ -74,3 +78,27 @@
     number: int
     at_once: int
     free: int
+
+
+class StatesOrder(msgspec.Struct, frozen=True, array_like=True):
+    """Asks for the states of budgets that a VM knows and has not restored.
+
+    ``era`` is the era of the store that the VM which asks has seen; the VM that is
+    asked enters it if it has not seen it itself.
+    """
+
+    number: int
+    era: int
+    workspaces: tuple[str, ...]
+
+
+class KnownStates(msgspec.Struct, frozen=True, array_like=True):
+    """The latest states of shards before an era, by workspace and shard.
+
+    A workspace is absent if the store has all that the VM knows of it. ``era`` is the
+    VM's own.
+    """
+
+    number: int
+    era: int
+    states: dict[str, dict[int, ShardState]]
--- a/verbenagrade/state/shards.py
+++ b/verbenagrade/state/shards.py
@@ -11,10 +11,14 @@
 
 import xxhash
 
+from verbenagrade.state.decoding import Count, Number
+
 __all__ = [
     "SHARD_COUNT",
+    "ShardState",
     "ShardTransfer",
     "choose_transfers",
+    "latest_state",
     "shard_limit",
     "shard_order",
 ]
@@ -25,6 +29,20 @@
 second."""
 
 
+@dataclass(frozen=True, slots=True)
+class ShardState:
+    """The row of a shard in an era of the store, at a version.
+
+    Of two states the one of the later era, or with the higher version, is later.
+    It then contains all grants that the other one contains.
+    """
+
+    era: Count = 0
+    version: Count = 0
+    tokens: Number = 0
+    spent: Number = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ShardTransfer:
     """Tokens taken from a shard, negative for tokens returned to it."""
@@ -42,6 +60,15 @@
     return prepaid // SHARD_COUNT + (1 if shard < prepaid % SHARD_COUNT else 0)
 
 
+def latest_state(*states: ShardState) -> ShardState:
+    """Returns the latest of several states of a shard.
+
+    >>> latest_state(ShardState(1, 9, 500), ShardState(2, 3, 700)).tokens
+    700
+    """
+    return max(states, key=lambda state: (state.era, state.version))
+
+
 def shard_order(workspace: str, vm: str) -> tuple[int, ...]:
     """Returns a workspace's shards in the order in which a VM tries them."""
 
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -7,6 +7,7 @@
 from verbenagrade.coordination.budget_holder import BudgetHolder
 from verbenagrade.coordination.default_versions import ServiceView
 from verbenagrade.coordination.fleet_budgets import FleetBudgets, HolderLinks
+from verbenagrade.coordination.peer_restorations import PeerRestorations
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import Clock, PlatformStore
 from verbenagrade.coordination.spending_reports import SpendingReports, VmIdentity
@@ -34,7 +35,8 @@
     """The budgets of a gateway: own grants, and those of other VMs in the fleet.
 
     ``fleet`` reserves for the calls of this VM, ``holder`` for those of other VMs.
-    ``links`` and ``server`` are the connections for both.
+    ``links`` and ``server`` are the connections for both. ``restorations`` learns what
+    other VMs hold after the store came back from an older copy.
     """
 
     def __init__(
@@ -55,16 +57,20 @@
         self.links = HolderLinkTable(identity)
         links = HolderLinks(self.links.reserve, self.links.free, self.links.settle)
         self.fleet = FleetBudgets(manager, self.ranking, links, clock)
+        self.restorations = PeerRestorations(
+            manager, self.ranking, self.links.known_states, clock
+        )
         self.holder = BudgetHolder(manager)
         self.server = HolderServer(self.holder, incarnation, keys, clients)
 
     def update_vms(self, peers: Iterable[RelayPeer], vm_count: int) -> None:
         """Applies a change of the VMs in the fleet."""
+        holders = [peer for peer in peers if peer.reservation_address]
         self.ranking.update(
             HolderVm(peer.vm, peer.reservation_address, peer.data_centre)
-            for peer in peers
-            if peer.reservation_address
+            for peer in holders
         )
+        self.restorations.update({peer.vm: peer.restored_in for peer in holders})
         self.manager.vm_count = vm_count
         self.manager.planner.holder_count = len(self.ranking.data_centres)
 
--- a/verbenagrade/transport/gateway/holder_links.py
+++ b/verbenagrade/transport/gateway/holder_links.py
@@ -16,10 +16,12 @@
 from verbenagrade.state.holders import HolderVm
 from verbenagrade.state.reservation_orders import (
     FreeTokensOrder,
+    KnownStates,
     ReserveOrder,
     ReserveResult,
     ReserveStatus,
     SettleOrder,
+    StatesOrder,
 )
 from verbenagrade.state.reservations import HeldTokens, ReservedPart
 from verbenagrade.transport.gateway.holder_connection import (
@@ -73,9 +75,11 @@
         self.unsent: list[SettleOrder] = []
         self.reserve_orders: list[ReserveOrder] = []
         self.free_orders: list[FreeTokensOrder] = []
+        self.states_orders: list[StatesOrder] = []
         self.first_replies: dict[int, asyncio.Future[ReserveResult]] = {}
         self.last_replies: dict[int, asyncio.Future[ReserveResult]] = {}
         self.free_replies: dict[int, asyncio.Future[HeldTokens]] = {}
+        self.states_replies: dict[int, asyncio.Future[KnownStates]] = {}
         self.flush_scheduled = False
 
     async def reserve(self, request: ReservationRequest) -> HolderReply:
@@ -89,6 +93,10 @@
         """Returns the free tokens of a workspace; raises ``PeerError`` likewise."""
         return await self._on_fresh_connection(lambda: self._free(workspace))
 
+    async def known_states(self, era: int, workspaces: tuple[str, ...]) -> KnownStates:
+        """Returns what the holder knows of budgets; raises ``PeerError`` likewise."""
+        return await self._on_fresh_connection(lambda: self._states(era, workspaces))
+
     def settle(self, number: int, used: int, incarnation: str) -> None:
         """Ends a reservation that a process of the holder has made."""
         if incarnation != self.incarnation:
@@ -169,6 +177,18 @@
         finally:
             del self.free_replies[number]
 
+    async def _states(self, era: int, workspaces: tuple[str, ...]) -> KnownStates:
+        connection = await self._connected()
+        number = next(self.numbers)
+        reply = asyncio.get_running_loop().create_future()
+        self.states_replies[number] = reply
+        self.states_orders.append(StatesOrder(number, era, workspaces))
+        self._schedule_flush(0.0)
+        try:
+            return await self._await_reply(reply, connection)
+        finally:
+            del self.states_replies[number]
+
     async def _await_reply(
         self, reply: "asyncio.Future[Value]", connection: HolderConnection
     ) -> Value:
@@ -202,8 +222,10 @@
         self.connection = None
         self.reserve_orders.clear()
         self.free_orders.clear()
-        waiting = (self.first_replies, self.last_replies, self.free_replies)
-        for future in [f for replies in waiting for f in replies.values()]:
+        self.states_orders.clear()
+        waiting = (*self.first_replies.values(), *self.last_replies.values())
+        others = (*self.free_replies.values(), *self.states_replies.values())
+        for future in (*waiting, *others):
             if not future.done():
                 future.set_exception(
                     PeerNoReplyError(f"{self.holder.vm} did not reply: {reason}")
@@ -220,6 +242,8 @@
         for reply in results.free:
             held = HeldTokens(reply.at_once, reply.free)
             _complete(self.free_replies.get(reply.number), held)
+        for known in results.states:
+            _complete(self.states_replies.get(known.number), known)
 
     def _schedule_flush(self, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -237,12 +261,14 @@
         """Sends all orders that wait, in one frame or few."""
         if self.connection is None:
             return
-        while self.reserve_orders or self.free_orders or self.unsent:
-            waiting = (self.reserve_orders, self.unsent, self.free_orders)
+        waiting = (self.reserve_orders, self.unsent, self.free_orders)
+        while any(waiting):
             first = (tuple(orders[:MAX_ORDERS_PER_FRAME]) for orders in waiting)
             self.connection.send(Orders(*first))
             for orders in waiting:
                 del orders[:MAX_ORDERS_PER_FRAME]
+        while self.states_orders:
+            self.connection.send(Orders(states=(self.states_orders.pop(0),)))
 
     def _drop_unsettled(self, reason: str) -> None:
         if self.unsettled:
@@ -284,6 +310,12 @@
         """Returns the free tokens at a holder; raises ``PeerError`` without a reply."""
         return await self._link(holder).free(workspace)
 
+    async def known_states(
+        self, holder: HolderVm, era: int, workspaces: tuple[str, ...]
+    ) -> KnownStates:
+        """Returns what a VM knows of budgets; raises ``PeerError`` without a reply."""
+        return await self._link(holder).known_states(era, workspaces)
+
     def settle(self, part: ReservedPart, used: int) -> None:
         """Ends a reservation with a holder."""
         link = self.links.get(part.vm)
--- a/verbenagrade/transport/gateway/holder_server.py
+++ b/verbenagrade/transport/gateway/holder_server.py
@@ -210,7 +210,8 @@
                 task.add_done_callback(self.tasks.discard)
         free: list[FreeTokens] = [self.holder.free(order) for order in orders.free]
         settled = tuple(settlement.number for settlement in orders.settle)
-        return Results(tuple(reserved), settled, tuple(free))
+        states = tuple(self.holder.known_states(spender, it) for it in orders.states)
+        return Results(tuple(reserved), settled, tuple(free), states)
 
     async def _finish(
         self,
--- a/verbenagrade/transport/gateway/process.py
+++ b/verbenagrade/transport/gateway/process.py
@@ -53,6 +53,7 @@
 from verbenagrade.transport.gateway.relay_server import handle_relayed_call
 from verbenagrade.transport.gateway.store_connections import store_session
 from verbenagrade.transport.gateway.upkeep import (
+    ask_peers,
     expire_endpoints,
     maintain_grants,
     record_streams,
@@ -144,6 +145,8 @@
             budgets=self.budgets.fleet,
             clients=clients,
         )
+        era_start = self.core.versions.era_start
+        self.budgets.restorations.era_began_at = lambda: era_start.loss().at
         self.runners: list[web.ServerRunner] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -288,6 +291,7 @@
         ):
             self._start_task(partial(task, core))
         self._start_task(partial(resend_settlements, self.budgets.links))
+        self._start_task(partial(ask_peers, self.budgets.restorations))
 
     def _apply_configuration(self, changes: Changes) -> None:
         """Replaces the configuration."""
--- a/verbenagrade/transport/gateway/upkeep.py
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -4,6 +4,8 @@
 from contextlib import suppress
 
 from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
+from verbenagrade.coordination.peer_restorations import PeerRestorations
+from verbenagrade.coordination.restorations import restored_era
 from verbenagrade.coordination.spending_reports import report_interval_s
 from verbenagrade.events import Event, log_event
 from verbenagrade.exceptions import PlatformError
@@ -12,6 +14,7 @@
 from verbenagrade.transport.gateway.holder_links import HolderLinkTable
 
 __all__ = [
+    "ask_peers",
     "expire_endpoints",
     "maintain_grants",
     "record_streams",
@@ -49,7 +52,7 @@
     while True:
         await asyncio.sleep(MAINTENANCE_INTERVAL_S * core.random.uniform(0.8, 1.2))
         try:
-            await core.fleet.announce()
+            await core.fleet.announce(_restored_era(core))
             await core.fleet.write_reports()
             await core.limits.write()
             await core.relay_keys.write()
@@ -76,6 +79,13 @@
         await core.allowance_manager.restore_budgets()
 
 
+async def ask_peers(restorations: PeerRestorations) -> None:
+    """Asks other VMs for what they have not restored in the store's present era."""
+    while True:
+        await asyncio.sleep(RESTORATION_INTERVAL_S)
+        await restorations.ask_peers()
+
+
 async def record_streams(core: GatewayCore) -> None:
     """Records running streams while the store may have lost records.
 
@@ -105,6 +115,11 @@
         await asyncio.sleep(interval_s * core.random.uniform(0.8, 1.2))
 
 
+def _restored_era(core: GatewayCore) -> int:
+    """Returns the last era of the store that contains all that this VM knows."""
+    return restored_era(core.allowance_manager.accounts.values(), core.eras.number)
+
+
 def _services_with_resumable_streams(core: GatewayCore) -> frozenset[str]:
     """Returns the services whose streams may go on at another endpoint."""
     if core.route_index is None:
