--- a/verbenagrade/coordination/grant_transactions.py
+++ b/verbenagrade/coordination/grant_transactions.py
@@ -224,9 +224,8 @@
         """Writes into this era what is known of the shards in earlier ones.
 
         Each shard ends up in the latest state that the copy, this VM or one that told
-        it has of it. Raises
-        ``PlatformError`` if the store does not respond, or if other VMs restore the
-        same budget again and again at the same time.
+        it has of it. Raises ``PlatformError`` if the store does not respond, or if
+        other VMs restore the same budget again and again at the same time.
         """
         account.update_shards(await self.table.scan(account.shards_prefix))
         present = dict(enumerate(account.shards))
