Test a late grant with the product's own guard of eras

The test of a grant that arrives after its VM was asked had a copy of the guard, and would have passed had the guard itself been broken. It uses guard_eras now, and fails if a VM that is asked does not enter the era that it is told.

--- a/verbenagrade/coordination/tests/test_peer_restorations.py
+++ b/verbenagrade/coordination/tests/test_peer_restorations.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from verbenagrade.coordination.store_eras import guard_eras
 from verbenagrade.coordination.tests.test_store_eras import (
     BUDGET,
     PREPAID,
@@ -204,14 +205,13 @@
             await answer.wait()
             return result
 
-        commit = fleet.store.port(manager.eras).commit
-        unguarded = transactions.table
-        transactions.table = replace(
-            unguarded, commit=guard_like(manager.eras, commit_and_wait)
-        )
+        table = transactions.table
+        commit = table.commit
+        slow = replace(table, commit=commit_and_wait)
+        transactions.table = guard_eras(slow, manager.eras)
         late = asyncio.create_task(manager.reserve(BUDGET, held + 100))
         await committed.wait()
-        transactions.table = unguarded
+        transactions.table = table
         fleet.store.turned_away.add("vm-0")
         fleet.store.come_back()
         await fleet.advance(4)
@@ -227,19 +227,6 @@
     run(play)
 
 
-def guard_like(eras, call):
-    """Returns the call, which fails if the era changes before its response."""
-
-    async def guarded(*arguments):
-        era = eras.current
-        result = await call(*arguments)
-        if era != eras.current:
-            raise PlatformError("the era has changed")
-        return result
-
-    return guarded
-
-
 # Guards against states that another VM tells while a restoration is being written.
 def test_states_told_during_a_restoration_are_written_by_the_next_one():
     async def play(fleet):
