--- a/review/13/case.py
+++ b/review/13/case.py
@@ -18,8 +18,9 @@
 ENTRY_LAPSES_S = 3.6
 """Three heartbeats of 1.2 s."""
 
-BEGIN_S, KILL_S = 23.0, 32.5
-"""When the streams begin and when their gateway is killed, in seconds after the cut."""
+BEGIN_S, HEAL_S, KILL_S = 20.5, 21.5, 31.0
+"""When the streams begin, the cut heals and their gateway is killed, in seconds after
+the cut."""
 
 STREAMS = 6
 EVENTS, PAUSE_MS = 60, 190
@@ -129,6 +130,11 @@
         streams = [
             asyncio.create_task(long_stream(cut, sound, record)) for _ in range(STREAMS)
         ]
+        await asyncio.sleep(began_at + HEAL_S - monotonic())
+        if TROUBLE:
+            store.silent_hosts.clear()
+            store.put("servers", old.name, old.entry())
+            record.write("cut healed", zone="muscat-a")
         await asyncio.sleep(began_at + KILL_S - monotonic())
         record.write("kill", gateway=cut.name)
         cut.signal(signal.SIGKILL)
