--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="target/deps:$PWD"
-python3 -m compileall -q review/common3 verbenagrade/platform/tests/store_standin.py
-python3 -c "import review.common3.client, review.common3.deployment, review.common3.record"
+python3 -m compileall -q review/common3 soak/proxy.py verbenagrade
+python3 -c "import review.common3.links, review.common3.record"
--- a/review/common3/client.py
+++ b/review/common3/client.py
@@ -2,8 +2,11 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from time import monotonic
 
 BOUND_S = 20.0
+exchanges: list[tuple[float, str, dict[str, object]]] = []
+"""When requests were sent and answered, and what is to be recorded of it."""
 
 
 @dataclass
@@ -29,6 +32,9 @@
 ) -> Answer:
     """Sends a request to ``IP:PORT`` and reads the answer to its end."""
     answer = Answer()
+    request_id = headers.get("Request-Id", "")
+    sent = {"request": request_id, "to": address, "target": target}
+    exchanges.append((monotonic(), "sent", sent))
     try:
         async with asyncio.timeout(BOUND_S):
             host, _, port = address.partition(":")
@@ -44,6 +50,8 @@
                 writer.close()
     except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
         pass
+    got = {"request": request_id, "status": answer.status, "complete": answer.complete}
+    exchanges.append((monotonic(), "answered", {**got, "bytes": len(answer.body)}))
     return answer
 
 
--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -24,6 +24,9 @@
 COMMAND = [sys.executable, "-m", "verbenagrade.commands.gateway"]
 PLACEHOLDER = re.compile(r"\{\{([a-z_.0-9]+)\|json\}\}")
 READY_S = 20.0
+TIME_LIMIT_S = 100.0
+"""Time after which a case is given up, and ends what it has started, in seconds."""
+
 BOUNDS = {
     "drain_ms": 2500,
     "grace_s": 8,
@@ -77,6 +80,7 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME")}
         environment |= {
             "PYTHONPATH": f"{ROOT / 'target/deps'}",
+            "PYTHONDONTWRITEBYTECODE": "1",
             "SSL_CERT_FILE": "/dev/null",
             "VERBENAGRADE_SETTINGS": str(settings),
         }
@@ -129,16 +133,21 @@
         self.network = f"127.{50 + number // 250 % 150}.{number % 250}"
 
     async def __aenter__(self) -> "Deployment":
+        self.limit = asyncio.timeout(TIME_LIMIT_S)
+        await self.limit.__aenter__()
         await self.store.start()
         return self
 
-    async def __aexit__(self, *_exception: object) -> None:
-        for gateway in self.gateways:
-            await gateway.end()
-        for replica in self.replicas:
-            replica.stop()
-        await self.store.stop()
-        shutil.rmtree(self.folder)
+    async def __aexit__(self, *exception: object) -> None:
+        try:
+            for gateway in self.gateways:
+                await gateway.end()
+            for replica in self.replicas:
+                replica.stop()
+            await self.store.stop()
+            shutil.rmtree(self.folder)
+        finally:
+            await self.limit.__aexit__(*exception)
 
     async def add_replica(self, replica: Replica) -> Replica:
         """Starts a replica and writes its entry."""
--- a/review/common3/record.py
+++ b/review/common3/record.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from time import monotonic
 
+from review.common3.client import exchanges
 from review.common3.replica import Replica
 
 
@@ -26,11 +27,13 @@
         self._write(monotonic(), what, fields)
 
     def write_runs(self, replicas: Iterable[Replica]) -> None:
-        """Writes a line for each request that a replica ran."""
-        runs = (run for replica in replicas for run in replica.runs)
-        for run in sorted(runs, key=lambda run: run.began_at):
+        """Writes a line for each request that was sent, answered or run."""
+        lines = list(exchanges)
+        for run in (run for replica in replicas for run in replica.runs):
             fields = {"replica": run.replica, "request": run.call, "path": run.path}
-            self._write(run.began_at, "run", {**fields, "events": run.events})
+            lines.append((run.began_at, "run", {**fields, "events": run.events}))
+        for at, what, fields in sorted(lines, key=lambda line: line[0]):
+            self._write(at, what, fields)
 
     def _write(self, at: float, what: str, fields: dict[str, object]) -> None:
         text = " ".join(f"{name}={value}" for name, value in fields.items())
