Wait until all VMs know a default version before it holds for streams

Cause: a default counted as settled 24 s after it had replaced another, whoever knew it. A VM that the store turns away can't hear of the change, and goes on beginning streams at the earlier default, without records, for as long as it reaches endpoints of that version. A VM that took such a stream up found no record and went on at the new default. The first VM did not record the running streams either when it heard of the change.

Evidence: the log of the VM that was cut off shows the new default 21.5 s after the cut, 17 s after the other VM had written it; its streams began in between. Ruled out: the change itself (the only entry of the version was gone while the store was up, endpoints known as of 0.0 s before), a loss of rows (no change of the era), clocks (the change is dated within 0.01 s), and the kill (without the cut, all streams keep their version).

Why the fix works: each VM confirms in its row up to where it has read the fleet's table. The time after which a stream without a record is one of the default begins once all VMs have confirmed it, and some VM adds that to the row of the default. Until then all VMs record their streams of versions that have endpoints, also those from before they heard of the change. New streams begin as before, at a VM that is cut off as well. A VM that nobody waits for yet, as it is not in the table, has its streams recorded; a VM silent for 600 s is taken for lost, so that a default always settles.

Two tests are changed: test_stream_of_a_replaced_default_is_not_known lets the VMs do their rounds, in which they confirm, and test_drill_is_over_for_a_process_that_starts_later looks at the need of a record once the new VM is listed.

--- a/verbenagrade/coordination/default_versions.py
+++ b/verbenagrade/coordination/default_versions.py
@@ -2,18 +2,24 @@
 
 The row ``software/SERVICE`` of the fleet's table has the default version of a service.
 It is replaced only when no endpoint of that version is left. A VM keeps the newest row
-that it has seen, whichever way that came.
+that it has seen, whichever way that came. The row also tells since when all VMs know
+the default; one of them adds that once the others have confirmed it.
 """
 
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-
-import msgspec
+from dataclasses import dataclass, replace
 
 from verbenagrade.coordination.codec import decode_or_ignore
-from verbenagrade.coordination.crash_rows import split_key
-from verbenagrade.coordination.gateway_fleet import FLEET_TABLE
+from verbenagrade.coordination.default_confirmations import DefaultConfirmations
+from verbenagrade.coordination.default_rows import (
+    DefaultRow,
+    LocalTimes,
+    decode_default,
+    default_key,
+    encode_default,
+    service_of,
+)
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import (
     Changes,
@@ -23,12 +29,13 @@
     Row,
     Write,
 )
+from verbenagrade.coordination.store_eras import StoreEras
 from verbenagrade.events import Event, log_event
-from verbenagrade.state.decoding import Seconds
 from verbenagrade.state.directory import EndpointEntry
 from verbenagrade.state.stream_versions import (
     MAX_ENDPOINTS_AGE_S,
     DefaultVersion,
+    HeardDefaults,
     most_common_version,
 )
 
@@ -41,12 +48,23 @@
 EXPECTED_WRITERS = 2.0
 """Expected number of VMs that write the row of a default in each round."""
 
+MAX_CONFIRMATION_WAIT_S = 600.0
+"""Time in seconds for which a default waits for VMs that don't confirm it. It covers
+data centres that are cut off for minutes; a VM that is silent for longer is taken for
+lost."""
+
+UNCONFIRMED_LOGGED_S = 5.0
+"""Time in seconds after which it is logged which VMs a default waits for."""
+
+MAX_LOGGED_VMS = 10
 
-class DefaultRow(msgspec.Struct, frozen=True):
-    """A default version, and since when it is one on the store's clock, in seconds."""
 
-    version: str
-    since_s: Seconds
+@dataclass(frozen=True, slots=True)
+class DefaultUpdate:
+    """A default whose row has to be written, and the reason for it."""
+
+    default: DefaultVersion
+    reason: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +90,9 @@
     the version of its row, and ``unreadable`` the services whose row can't be decoded.
     ``seen`` has all versions of a service's endpoints that this VM has seen while it
     knew no default. ``heard_at`` is when the feed of the table last brought a response,
-    in seconds.
+    in seconds. ``before_loss`` has the defaults known when the store came back from an
+    older copy, and ``logged_rows`` the versions of the rows that were logged as not
+    confirmed.
     """
 
     def __init__(
@@ -80,14 +100,20 @@
         table: PlatformStore,
         clock: Clock,
         time: StoreTime,
+        eras: StoreEras,
         view: ServiceView,
+        vm: str,
         rng: random.Random,
     ) -> None:
         self.table = table
         self.clock = clock
         self.time = time
+        self.eras = eras
         self.view = view
         self.random = rng
+        self.confirmations = DefaultConfirmations(vm, eras, rng)
+        self.before_loss: dict[str, DefaultVersion] = {}
+        self.logged_rows: dict[str, int] = {}
         self.known: dict[str, DefaultVersion] = {}
         self.row_versions: dict[str, int] = {}
         self.unreadable: set[str] = set()
@@ -103,19 +129,31 @@
             self.enter_era()
         present: set[str] = set()
         for row in changes.rows:
-            if service := _service(row.key):
+            if service := service_of(row.key):
                 present.add(service)
                 self._apply_row(service, row)
-        for service in filter(None, map(_service, changes.removed)):
+        for service in filter(None, map(service_of, changes.removed)):
             self.row_versions[service] = ABSENT
         if changes.complete:
             for service in self.row_versions.keys() - present:
                 self.row_versions[service] = ABSENT
+        self.confirmations.apply(changes)
         self.heard_at = self.clock()
 
     def enter_era(self) -> None:
         """Has the defaults written again after the store came back from a copy."""
         self.row_versions = dict.fromkeys(self.row_versions, ABSENT)
+        self.before_loss.update(self.known)
+
+    def to_tell(self) -> HeardDefaults:
+        """Returns what the row of this VM has to tell of the defaults."""
+        unconfirmed = (
+            self.row_versions.get(service, ABSENT)
+            for service, default in self.known.items()
+            if default.confirmed_at is None
+        )
+        newest = max(unconfirmed, default=ABSENT)
+        return self.confirmations.to_tell(newest, self.view.vm_count(), self.clock())
 
     async def read(self, service: str) -> DefaultVersion | None:
         """Returns the default that the store has now.
@@ -123,7 +161,7 @@
         It is ``None`` if there is no row, or one that can't be decoded. Raises
         ``PlatformError`` if the store does not respond.
         """
-        (row,) = await self.table.read((_key(service),))
+        (row,) = await self.table.read((default_key(service),))
         if row is None:
             return None
         self._apply_row(service, row)
@@ -135,7 +173,7 @@
         Raises ``PlatformError`` if the store does not respond.
         """
         self.watch(service)
-        update = self._next_default(service, self.clock())
+        update = self._next_update(service, self.clock())
         if update is not None and self._is_writer():
             await self._write(service, update)
 
@@ -148,41 +186,114 @@
     def _is_writer(self) -> bool:
         return self.random.random() * self.view.vm_count() < EXPECTED_WRITERS
 
-    def _next_default(self, service: str, now: float) -> DefaultVersion | None:
+    def _next_update(self, service: str, now: float) -> DefaultUpdate | None:
         """Returns the default whose row has to be written, ``None`` if none has.
 
         It is a new one if the present one has no endpoints left, and the present one if
-        the store has lost its row or the row can't be decoded.
+        the store has lost its row, the row can't be decoded or all VMs know it now.
         """
         ready = tuple(self.view.ready(service))
         default = self.known.get(service)
         if self.view.directory_age_s() > MAX_ENDPOINTS_AGE_S or not ready:
             return None
         if default is None:
-            first = service not in self.unreadable and len(self.seen[service]) == 1
-            version = most_common_version(ready)
-            return DefaultVersion(version, now - LONG_AGO_S if first else now)
+            return self._first(service, most_common_version(ready), now)
         if all(entry.software_version != default.version for entry in ready):
-            return DefaultVersion(most_common_version(ready), now)
-        lost = self.row_versions.get(service, ABSENT) == ABSENT
-        return default if lost or service in self.unreadable else None
+            replacement = DefaultVersion(most_common_version(ready), now, None)
+            return DefaultUpdate(replacement, "no endpoint of the previous one is left")
+        if service in self.unreadable:
+            return DefaultUpdate(default, "its row could not be read")
+        if self.row_versions.get(service, ABSENT) == ABSENT:
+            return DefaultUpdate(default, "its row was lost")
+        if self._follows_a_lost_one(service, default):
+            unconfirmed = replace(default, since=now, confirmed_at=None)
+            return DefaultUpdate(unconfirmed, "the store has lost another default")
+        if default.confirmed_at is None:
+            return self._confirmed(service, default, now)
+        return None
+
+    def _first(self, service: str, version: str, now: float) -> DefaultUpdate:
+        """Returns the first default; it may hold for streams from before."""
+        if service not in self.unreadable and len(self.seen[service]) == 1:
+            since = now - LONG_AGO_S
+            default = DefaultVersion(version, since, confirmed_at=since)
+            return DefaultUpdate(default, "the only version so far")
+        return DefaultUpdate(DefaultVersion(version, now, None), "the first default")
+
+    def _follows_a_lost_one(self, service: str, default: DefaultVersion) -> bool:
+        """Returns whether VMs may know another default that the store has lost."""
+        before = self.before_loss.get(service)
+        confirmed_at = default.confirmed_at
+        if before is None or confirmed_at is None or confirmed_at >= self.eras.since:
+            return False
+        return before.version != default.version or before.confirmed_at is None
+
+    def _confirmed(
+        self, service: str, default: DefaultVersion, now: float
+    ) -> DefaultUpdate | None:
+        """Returns a default as one that all VMs know, ``None`` if some may not."""
+        missing = self.confirmations.missing(self.row_versions[service])
+        waited_s = now - default.since
+        if missing and waited_s < MAX_CONFIRMATION_WAIT_S:
+            self._log_unconfirmed(service, default, missing, waited_s)
+            return None
+        reason = "VMs are silent for too long" if missing else "all VMs know it"
+        return DefaultUpdate(replace(default, confirmed_at=now), reason)
 
-    async def _write(self, service: str, default: DefaultVersion) -> None:
-        offset_s = self.time.offset_s()
+    def _log_unconfirmed(
+        self,
+        service: str,
+        default: DefaultVersion,
+        missing: tuple[str, ...],
+        waited_s: float,
+    ) -> None:
+        """Logs which VMs a default waits for, once for each row of it."""
+        row_version = self.row_versions[service]
+        logged = self.logged_rows.get(service) == row_version
+        if logged or waited_s < UNCONFIRMED_LOGGED_S:
+            return
+        self.logged_rows[service] = row_version
+        log_event(
+            Event.DEFAULT_UNCONFIRMED,
+            service=service,
+            version=default.version,
+            vms=missing[:MAX_LOGGED_VMS],
+            vm_count=len(missing),
+            waited_s=round(waited_s, 3),
+        )
+
+    async def _write(self, service: str, update: DefaultUpdate) -> None:
+        offset_s, default = self.time.offset_s(), update.default
         if offset_s is None:
             return
-        key = _key(service)
-        content = DefaultRow(default.version, default.since + offset_s)
-        value = msgspec.json.encode(content)
+        key, value = default_key(service), encode_default(default, offset_s)
         check = Check(key, self.row_versions.get(service, ABSENT))
+        previous = self.known.get(service)
         commit = await self.table.commit((check,), (Write(key, value),))
         written = Row(key, commit.version, value)
         rows = (written,) if commit.committed else commit.rows
         if not rows:
             self.row_versions[service] = ABSENT
+        if commit.committed:
+            self._log_written(service, update, previous)
         for row in rows:
             self._apply_row(service, row)
 
+    def _log_written(
+        self, service: str, update: DefaultUpdate, previous: DefaultVersion | None
+    ) -> None:
+        """Logs why this VM wrote a default, and the age of what it decided by."""
+        log_event(
+            Event.DEFAULT_VERSION_WRITTEN,
+            service=service,
+            version=update.default.version,
+            previous=previous.version if previous is not None else None,
+            reason=update.reason,
+            waited_s=round(self.clock() - update.default.since, 3),
+            endpoints_age_s=round(self.view.directory_age_s(), 3),
+            defaults_age_s=_age_s(self.heard_at, self.clock()),
+        )
+
     def _apply_row(self, service: str, row: Row) -> None:
         """Takes a row over, unless it is older than one that is known."""
         if row.version <= self.row_versions.get(service, ABSENT):
@@ -194,30 +305,19 @@
             return
         self.unreadable.discard(service)
         known = self.known.get(service)
-        since = self._since(content, known)
-        self.known[service] = DefaultVersion(content.version, since)
-        if known is None or known.version != content.version:
+        times = LocalTimes(self.clock(), self.time.offset_s(), self.heard_at)
+        default = self.known[service] = decode_default(content, known, times)
+        if known is None or known.version != default.version:
             log_event(
-                Event.DEFAULT_VERSION_CHANGED, service=service, version=content.version
+                Event.DEFAULT_VERSION_CHANGED,
+                service=service,
+                version=default.version,
+                previous=known.version if known is not None else None,
+                unheard_s=_age_s(times.heard_at, times.now),
+                confirmed=default.confirmed_at is not None,
             )
 
-    def _since(self, content: DefaultRow, known: DefaultVersion | None) -> float:
-        """Returns since when a row's version is the default, on this VM's clock."""
-        offset_s, now = self.time.offset_s(), self.clock()
-        if offset_s is None:
-            return now
-        since = min(now, content.since_s - offset_s)
-        if known is not None and known.version != content.version:
-            # The clock of the VM that wrote the row may have gone behind.
-            return max(since, self.heard_at)
-        return since
-
-
-def _key(service: str) -> str:
-    return f"{FLEET_TABLE}//software/{service}"
-
 
-def _service(key: str) -> str:
-    """Returns the service whose default the row of a key has, empty if none."""
-    kind, *names = split_key(key, FLEET_TABLE)
-    return "/".join(names) if kind == "software" else ""
+def _age_s(at: float, now: float) -> float | None:
+    """Returns for a log line how long ago something was, ``None`` if it never was."""
+    return round(now - at, 3) if at > float("-inf") else None
--- a/verbenagrade/coordination/gateway_fleet.py
+++ b/verbenagrade/coordination/gateway_fleet.py
@@ -36,6 +36,7 @@
 from verbenagrade.state.crash_memory import CrashMemory
 from verbenagrade.state.crash_suspects import SUSPICION_S
 from verbenagrade.state.relay_peers import RelayPeers
+from verbenagrade.state.stream_versions import HeardDefaults
 
 __all__ = ["FLEET_TABLE", "GatewayFleet"]
 
@@ -85,6 +86,7 @@
     ) -> None:
         self.table = table
         self.vm = vm
+        self.own_key = f"{FLEET_TABLE}//vm/{vm}"
         self.presence = PresenceRow(incarnation)
         self.peers = RelayPeers()
         self.eras = eras
@@ -110,34 +112,41 @@
             present = {row.key for row in changes.rows}
             self.peers.retain(lambda vm: f"{FLEET_TABLE}//vm/{vm}" in present)
             self._forget_absent(present)
+            if self.own_key not in present:
+                self.announced = None
         for row in changes.rows:
             self._apply_row(row)
         for key in changes.removed:
             kind, _, name = key.removeprefix(f"{FLEET_TABLE}//").partition("/")
-            if kind == "vm" and name != self.vm:
+            if key == self.own_key:
+                self.announced = None
+            elif kind == "vm":
                 self.vms.discard(name)
                 self.peers.remove(name)
-            elif kind != "vm":
+            else:
                 self.forget_crash(key)
         self.loaded = True
 
-    async def announce(self, restored_in: int) -> None:
-        """Writes this VM's row, again in each era of the store and if it has changed.
+    async def announce(
+        self, restored_in: int, heard: HeardDefaults | None = None
+    ) -> None:
+        """Writes this VM's row, again in each era, if it has changed or was lost.
 
-        ``restored_in`` is what it tells of its budgets. Raises ``PlatformError`` if the
-        store does not respond.
+        ``restored_in`` is what it tells of its budgets, and ``heard`` of the default
+        software versions. Raises ``PlatformError`` if the store does not respond.
         """
-        presence = msgspec.structs.replace(self.presence, restored_in=restored_in)
+        presence = msgspec.structs.replace(
+            self.presence, restored_in=restored_in, heard=heard
+        )
         if self.announced != (announced := (self.eras.number, presence)):
-            key = f"{FLEET_TABLE}//vm/{self.vm}"
-            await self._commit((Write(key, msgspec.json.encode(presence)),))
+            value = msgspec.json.encode(presence)
+            await self._commit((Write(self.own_key, value),))
             self.announced = announced
 
     async def withdraw(self) -> None:
         """Removes this VM's row, or logs that the store does not respond."""
-        key = f"{FLEET_TABLE}//vm/{self.vm}"
         try:
-            await self._commit((Write(key, None),))
+            await self._commit((Write(self.own_key, None),))
         except PlatformError as error:
             log_event(Event.PLATFORM_AWAY, table=FLEET_TABLE, reason=str(error))
 
--- a/verbenagrade/coordination/presence_rows.py
+++ b/verbenagrade/coordination/presence_rows.py
@@ -6,6 +6,7 @@
 from verbenagrade.coordination.ports import Row
 from verbenagrade.state.decoding import Count, is_address
 from verbenagrade.state.relay_peers import RelayPeer
+from verbenagrade.state.stream_versions import HeardDefaults
 
 __all__ = ["PresenceRow", "decode_peer"]
 
@@ -16,7 +17,8 @@
     ``relay_address`` is where it takes calls of other VMs, and ``reservation_address``
     where it takes their reservations of tokens; each is empty if it takes none.
     ``restored_in`` is the era of the store in which all that the process knows of
-    budgets is in the store; builds that don't tell leave it out.
+    budgets is in the store, and ``heard`` up to where it knows the default software
+    versions; builds that don't tell leave these out.
     """
 
     incarnation: str
@@ -24,6 +26,7 @@
     data_centre: str = ""
     reservation_address: str = ""
     restored_in: Count | None = None
+    heard: HeardDefaults | None = None
 
 
 def decode_peer(vm: str, row: Row) -> RelayPeer | None:
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -8,7 +8,9 @@
 began at the default, unless the default changed, or the store may have lost rows,
 within the time for which callers take streams up. Nothing but the store shows that: a
 VM that is cut off from it, or stands still, does not see which versions serve
-meanwhile.
+meanwhile. Nor does it see that the default was replaced, and goes on with streams at
+the earlier one. A default therefore holds for streams without a record only once all
+VMs know it; until then each records its streams, also those that it had begun before.
 
 After a loss of rows, a stream without a record is of no known version for as long as
 callers may take up one whose record is lost. Until then each VM therefore records all
@@ -70,6 +72,7 @@
         eras: StoreEras,
         view: ServiceView,
         store_writes_per_s: float,
+        vm: str,
         rng: random.Random,
     ) -> None:
         self.records = records
@@ -79,7 +82,7 @@
         self.store_writes_per_s = store_writes_per_s
         self.begun = BegunStreams()
         self.to_record = asyncio.Event()
-        self.defaults = DefaultVersions(table, clock, time, view, rng)
+        self.defaults = DefaultVersions(table, clock, time, eras, view, vm, rng)
         self.allowance = MIN_BURST_RECORDS
         self.allowance_at = clock()
 
@@ -108,6 +111,7 @@
             ),
             endpoints_age_s=self.view.directory_age_s(),
             store_away=self.records.away,
+            vm_listed=self.defaults.confirmations.is_listed(),
         )
         return record_need(known, version, now, self.view.stream_life_s())
 
@@ -142,31 +146,60 @@
             self.to_record.set()
 
     async def record_running(self) -> int:
-        """Records the streams of this VM whose records the store may have lost.
+        """Records the streams of this VM without which other VMs can't tell where they
+        began.
 
         Those for which the store takes no more records now are left for the next time.
         Returns the number of streams that were recorded.
         """
         self.to_record.clear()
-        now, loss = self.clock(), self.era_start.loss()
-        stream_life_s = self.view.stream_life_s()
-        if not loss.may_concern(now, stream_life_s):
-            return 0
-        recorded = 0
         partitions: dict[int, dict[str, BegunStream]] = {}
-        for call_id, stream in self.begun.unrecorded(
-            loss.era, now - stream_life_s
-        ).items():
+        for call_id, stream in self._unrecorded(self.clock()).items():
             partitions.setdefault(partition_of(call_id), {})[call_id] = stream
+        recorded = 0
         for streams in partitions.values():
             if not self.may_record():
                 break
             self.allowance -= 1.0
             recorded += await self._record_all(streams)
         if recorded:
-            log_event(Event.STREAMS_RECORDED, streams=recorded, era=loss.era)
+            loss = self.era_start.loss()
+            lost = loss.may_concern(self.clock(), self.view.stream_life_s())
+            reason = "the store has lost rows" if lost else "a default is not settled"
+            log_event(
+                Event.STREAMS_RECORDED, streams=recorded, era=loss.era, reason=reason
+            )
         return recorded
 
+    def _unrecorded(self, now: float) -> dict[str, BegunStream]:
+        """Returns the streams that have to be recorded though they may have begun.
+
+        These are all without a record of this era while the store may have lost rows.
+        Otherwise, they are those without any record while their default is not settled,
+        if endpoints of their version serve, at which they could go on.
+        """
+        loss, stream_life_s = self.era_start.loss(), self.view.stream_life_s()
+        if loss.may_concern(now, stream_life_s):
+            return self.begun.unrecorded(loss.era, now - stream_life_s)
+        served = {
+            service: self._served_versions(service)
+            for service, default in self.defaults.known.items()
+            if not default.is_settled(now, stream_life_s)
+        }
+        if not served:
+            return {}
+        running = self.begun.unrecorded(loss.era, now - stream_life_s)
+        return {
+            call_id: stream
+            for call_id, stream in running.items()
+            if stream.recorded_in is None
+            and stream.version in served.get(stream.service, ())
+        }
+
+    def _served_versions(self, service: str) -> set[str]:
+        entries = self.view.entries(service)
+        return {entry.software_version for entry in entries if not entry.leaving}
+
     async def find(self, service: str, call_id: str, asked_at: float) -> StreamOrigin:
         """Returns the version at which a stream began.
 
@@ -179,7 +212,13 @@
             return StreamOrigin(version, "served here")
         origin = await self._read_with_retries(service, call_id, asked_at)
         if origin.version is not None:
-            stream = BegunStream(origin.version, max(1, origin.number), self.clock())
+            stream = BegunStream(
+                service=service,
+                version=origin.version,
+                number=max(1, origin.number),
+                at=self.clock(),
+                recorded_in=origin.recorded_in,
+            )
             self.begun.record(call_id, stream)
         return origin
 
--- a/verbenagrade/coordination/tests/test_odd_rows.py
+++ b/verbenagrade/coordination/tests/test_odd_rows.py
@@ -56,13 +56,18 @@
         "relay_address": b'"10.0.0.9:7355"',
         "data_centre": b'"muscat-a"',
         "reservation_address": b'"10.0.0.9:7341"',
+        "heard": b'{"era":1,"version":5}',
     },
     "store/era": {"era": b"2", "since_s": b"5090.0"},
     "crash/d1/i-1@0": {"at_s": b"5090.0"},
     "suspect/5c1e/i-1@0": {"at_s": b"5090.0"},
     "trial/5c1e/0": {"at_s": b"5090.0"},
     "limit/i-1@0": {"limit_per_s": b"2.5", "at_s": b"5090.0"},
-    "software/pool": {"version": b'"v1"', "since_s": b"5000.0"},
+    "software/pool": {
+        "version": b'"v1"',
+        "since_s": b"5000.0",
+        "confirmed_s": b"5001.0",
+    },
     "relay/key": {"a": b"1"},
 }
 ODD_KEYS = (
@@ -132,7 +137,7 @@
             lambda: 2,
         )
         self.versions = StreamVersions(
-            table, records, clock, time, eras, view, 100.0, rng
+            table, records, clock, time, eras, view, 100.0, "front-1", rng
         )
 
     def apply(self, rows, complete) -> None:
--- a/verbenagrade/coordination/tests/test_stream_versions.py
+++ b/verbenagrade/coordination/tests/test_stream_versions.py
@@ -13,6 +13,8 @@
 from verbenagrade.state.stream_versions import RecordNeed
 
 STEP_S = 0.1
+SETTLING_S = 3.0
+"""Time in seconds in which all VMs confirm a default, a round each and one to tell."""
 
 
 def test_stream_at_the_default_is_known_elsewhere_without_a_write():
@@ -48,7 +50,7 @@
         await fleet.maintain()
         assert await second.find("old") is None
         assert await second.find("new") == "v2"
-        await fleet.pass_time(STREAM_LIFE_S + 1.0)
+        await fleet.run(STREAM_LIFE_S + SETTLING_S)
         await first.begin("later", "v2")
         assert first.versions.need(SERVICE, "v2") is RecordNeed.NONE
         assert await second.find("later") == "v2"
--- a/verbenagrade/coordination/tests/test_streams_after_drills.py
+++ b/verbenagrade/coordination/tests/test_streams_after_drills.py
@@ -132,8 +132,9 @@
         await fleet.pass_time(STREAM_LIFE_S)
         await first.begin("a", "v1")
         started = await fleet.add()
-        assert started.versions.need(SERVICE, "v1") is RecordNeed.NONE
         assert await started.find("a") == "v1"
+        await fleet.maintain()
+        assert started.versions.need(SERVICE, "v1") is RecordNeed.NONE
 
     play(scenario)
 
--- a/verbenagrade/coordination/tests/test_unproven_versions.py
+++ b/verbenagrade/coordination/tests/test_unproven_versions.py
@@ -236,7 +236,7 @@
         fleet.serve("v0", "v0")
         vm, other = await fleet.add(), await fleet.add()
         vm.versions.need(SERVICE, "v0")
-        other.versions.begun.record("old", BegunStream("v0", 1, fleet.clock()))
+        other.versions.begun.record("old", BegunStream(SERVICE, "v0", 1, fleet.clock()))
         fleet.serve("v1", "v1")
         await vm.maintain()
         assert DEFAULT_KEY in fleet.store.rows
--- a/verbenagrade/coordination/tests/version_fleet.py
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 
 from verbenagrade.coordination.default_versions import ServiceView
+from verbenagrade.coordination.gateway_fleet import GatewayFleet
 from verbenagrade.coordination.permits import StoreTime
 from verbenagrade.coordination.ports import (
     Changes,
@@ -140,8 +141,9 @@
     still, it reaches the store, but does not know that it missed changes.
     """
 
-    def __init__(self, fleet, number) -> None:
+    def __init__(self, fleet, name, number) -> None:
         self.fleet = fleet
+        self.name = name
         self.cut_off_at: float | None = None
         self.still = False
         self.known_entries: list[EndpointEntry] = []
@@ -164,7 +166,10 @@
             vm_count=lambda: 1,
         )
         self.versions = StreamVersions(
-            table, self.records, fleet.clock, time, self.eras, view, 800, rng
+            table, self.records, fleet.clock, time, self.eras, view, 800, self.name, rng
+        )
+        self.presence = GatewayFleet(
+            table, self.name, f"{self.name}-{number}", self.eras, fleet.clock
         )
 
     def cut_off(self) -> None:
@@ -202,9 +207,9 @@
         restored = earlier not in (None, store.era)
         self.eras.observe(EraMark(store.era), earlier)
         rows = tuple(r for k, r in store.rows.items() if k.startswith("fleet//"))
-        self.versions.apply(
-            Changes(store.version, rows, removed, complete or restored, restored)
-        )
+        changes = Changes(store.version, rows, removed, complete or restored, restored)
+        self.presence.apply(changes)
+        self.versions.apply(changes)
 
     async def begin(self, call, version, number=1) -> None:
         """Begins a stream as a gateway does: recorded before its first event."""
@@ -212,7 +217,7 @@
         era = None
         if need is not RecordNeed.NONE:
             era = await self.versions.record(call, number, version)
-        begun = BegunStream(version, number, self.fleet.clock(), era)
+        begun = BegunStream(SERVICE, version, number, self.fleet.clock(), era)
         self.versions.begun.record(call, begun)
 
     async def find(self, call) -> str | None:
@@ -222,6 +227,7 @@
 
     async def maintain(self) -> None:
         with suppress(PlatformError):
+            await self.presence.announce(0, self.versions.defaults.to_tell())
             await self.versions.maintain((SERVICE,))
         await self.versions.record_running()
 
@@ -233,6 +239,7 @@
         self.stream_life_s = STREAM_LIFE_S
         self.entries: list[EndpointEntry] = []
         self.vms: list[Vm] = []
+        self.started = 0
 
     def serve(self, *versions) -> None:
         """Replaces all endpoints."""
@@ -246,15 +253,20 @@
         vm.follow()
         return vm
 
-    def start_vm(self) -> Vm:
-        """Starts a VM that has read nothing from the store yet."""
-        vm = Vm(self, len(self.vms))
+    def start_vm(self, name="") -> Vm:
+        """Starts a VM that has read nothing from the store yet.
+
+        Without a name it is a further VM, otherwise a new process of that VM.
+        """
+        self.started += 1
+        vm = Vm(self, name or f"front-{self.started}", self.started)
         self.vms.append(vm)
         return vm
 
     async def maintain(self) -> None:
         for vm in self.vms:
-            await vm.maintain()
+            if not vm.still:
+                await vm.maintain()
         self.follow()
 
     def follow(self) -> None:
@@ -266,6 +278,12 @@
         await asyncio.sleep(seconds)
         self.follow()
 
+    async def run(self, seconds: float) -> None:
+        """Waits while the VMs do their work of each second."""
+        for _ in range(round(seconds)):
+            await asyncio.sleep(1.0)
+            await self.maintain()
+
 
 def play(scenario: Callable[..., Awaitable[None]]) -> None:
     """Runs a scenario with a fleet of two VMs, whose endpoints ran v1 for long."""
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -66,7 +66,7 @@
     STREAMS_RECORDED = (
         238,
         logbook.INFO,
-        "versions of running streams recorded after the store lost rows",
+        "versions of running streams recorded",
     )
     WAY_LOST = (
         228,
@@ -89,6 +89,16 @@
     CLIENT_GIVEN_UP = (239, logbook.INFO, "client given up to keep within the limits")
     CONNECTION_FAILED = (240, logbook.INFO, "connection of a client failed")
     RESPONSE_INVALID = (241, logbook.WARNING, "endpoint sent no valid response")
+    DEFAULT_VERSION_WRITTEN = (
+        242,
+        logbook.INFO,
+        "default software version of a service written",
+    )
+    DEFAULT_UNCONFIRMED = (
+        243,
+        logbook.WARNING,
+        "VMs have not confirmed a default software version",
+    )
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
     GRANT_DELAYED = (302, logbook.WARNING, "grant not adjusted; platform unavailable")
--- a/verbenagrade/state/stream_versions.py
+++ b/verbenagrade/state/stream_versions.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from verbenagrade.state.decoding import Count
 from verbenagrade.state.directory import EndpointEntry
 
 __all__ = [
@@ -18,6 +19,7 @@
     "BegunStream",
     "BegunStreams",
     "DefaultVersion",
+    "HeardDefaults",
     "Knowledge",
     "RecordNeed",
     "RowLoss",
@@ -55,17 +57,46 @@
 
 @dataclass(frozen=True, slots=True)
 class DefaultVersion:
-    """The version of streams without a record, since a time in seconds."""
+    """The version of streams without a record, since a time in seconds.
+
+    ``confirmed_at`` is when all VMs knew it, in seconds, ``None`` if some may not. A VM
+    that does not know it may begin streams at the one before, without a record.
+    """
 
     version: str
     since: float
+    confirmed_at: float | None
 
     def is_settled(self, now: float, stream_life_s: float) -> bool:
-        """Returns whether no stream from before can still go on.
+        """Returns whether no stream that began at an earlier default can still go on.
 
         ``stream_life_s`` is the longest time in which callers take a stream up.
+
+        >>> DefaultVersion("v1", 0.0, confirmed_at=5.0).is_settled(30.0, 24.0)
+        True
+        >>> DefaultVersion("v1", 0.0, confirmed_at=None).is_settled(900.0, 24.0)
+        False
         """
-        return now - self.since >= stream_life_s
+        confirmed_at = self.confirmed_at
+        return confirmed_at is not None and now - confirmed_at >= stream_life_s
+
+
+@dataclass(frozen=True, slots=True)
+class HeardDefaults:
+    """Up to which version of the fleet's table, in an era, a VM knows the defaults."""
+
+    era: Count
+    version: Count
+
+    def covers(self, era: int, version: int) -> bool:
+        """Returns whether the VM knows what a row had at a version in an era.
+
+        >>> HeardDefaults(era=1, version=7).covers(era=1, version=7)
+        True
+        >>> HeardDefaults(era=1, version=9).covers(era=2, version=7)
+        False
+        """
+        return self.era == era and self.version >= version
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +107,8 @@
     the feed of the defaults brought a response, in seconds, infinite if it never did.
     ``ready_versions`` are those of the endpoints that take new calls, of which changes
     may have been missed for ``endpoints_age_s``. ``store_away`` tells that the store
-    takes no records now.
+    takes no records now. ``vm_listed`` tells that the other VMs know of this one, so
+    that they wait for it before a default that replaces this one counts.
     """
 
     default: DefaultVersion | None
@@ -84,6 +116,7 @@
     ready_versions: frozenset[str]
     endpoints_age_s: float
     store_away: bool = False
+    vm_listed: bool = True
 
 
 def record_need(
@@ -93,7 +126,7 @@
 
     ``stream_life_s`` is the longest time in which callers take a stream up.
 
-    >>> default = DefaultVersion("v1", since=0.0)
+    >>> default = DefaultVersion("v1", since=0.0, confirmed_at=0.0)
     >>> both = Knowledge(default, 0.0, frozenset({"v1", "v2"}), endpoints_age_s=0.0)
     >>> record_need(both, "v1", now=60.0, stream_life_s=24.0)
     <RecordNeed.NONE: 'none'>
@@ -112,7 +145,7 @@
         alone = heard and len(known.ready_versions) == 1
         return RecordNeed.OPTIONAL if alone else RecordNeed.REQUIRED
     if version == default.version:
-        settled = default.is_settled(now, stream_life_s)
+        settled = known.vm_listed and default.is_settled(now, stream_life_s)
         certain = settled and (heard or known.store_away)
         return RecordNeed.NONE if certain else RecordNeed.OPTIONAL
     gone = default.version not in known.ready_versions
@@ -160,12 +193,14 @@
 class StreamOrigin:
     """The version at which a stream began, ``None`` if it is not known, and why.
 
-    ``number`` is that of the attempt whose record tells the version, 0 if none does.
+    ``number`` is that of the attempt whose record tells the version, 0 if none does,
+    and ``recorded_in`` the era of the record.
     """
 
     version: str | None
     reason: str
     number: int = 0
+    recorded_in: int | None = None
 
 
 def find_origin(
@@ -181,11 +216,11 @@
     which the caller took the stream up. A record from before a loss of rows may be that
     of an earlier attempt, whose successor's record is lost.
 
-    >>> default, no_loss = DefaultVersion("v1", since=0.0), RowLoss(1, None)
+    >>> default, no_loss = DefaultVersion("v1", 0.0, 0.0), RowLoss(1, None)
     >>> find_origin(None, default, 60.0, 24.0, no_loss)
-    StreamOrigin(version='v1', reason='default', number=0)
+    StreamOrigin(version='v1', reason='default', number=0, recorded_in=None)
     >>> find_origin(StreamRecord("v2", 1, era=1), default, 60.0, 24.0, no_loss)
-    StreamOrigin(version='v2', reason='recorded', number=1)
+    StreamOrigin(version='v2', reason='recorded', number=1, recorded_in=1)
     >>> find_origin(None, default, 10.0, 24.0, no_loss).version is None
     True
     >>> find_origin(None, default, 60.0, 24.0, RowLoss(2, at=50.0)).version is None
@@ -193,11 +228,13 @@
     """
     lost = loss.may_concern(asked_at, stream_life_s)
     if record is not None and (record.era == loss.era or not lost):
-        return StreamOrigin(record.version, "recorded", record.number)
+        return StreamOrigin(record.version, "recorded", record.number, record.era)
     if lost:
         return StreamOrigin(None, "the store may have lost its record")
     if default is None:
         return StreamOrigin(None, "the store has no default that can be read")
+    if default.confirmed_at is None:
+        return StreamOrigin(None, "some VM may not know the default yet")
     if not default.is_settled(asked_at, stream_life_s):
         return StreamOrigin(None, "the default changed a short time ago")
     return StreamOrigin(default.version, "default")
@@ -218,6 +255,7 @@
     record, ``None`` if it has none. A ``complete`` stream is not taken up any more.
     """
 
+    service: str
     version: str
     number: int
     at: float
@@ -259,7 +297,7 @@
         Those from before ``oldest_at``, a time in seconds, are left out.
 
         >>> begun = BegunStreams()
-        >>> begun.record("a", BegunStream("v1", 1, at=50.0, recorded_in=1))
+        >>> begun.record("a", BegunStream("pool", "v1", 1, at=50.0, recorded_in=1))
         >>> list(begun.unrecorded(era=1, oldest_at=40.0))
         []
         >>> list(begun.unrecorded(era=2, oldest_at=40.0))
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -131,7 +131,9 @@
     rng = random.Random(seed)
     records = StreamRecords(table, clock, time, eras, rng, vm_count)
     writes_per_s = settings.store.writes_per_s
-    return StreamVersions(table, records, clock, time, eras, view, writes_per_s, rng)
+    return StreamVersions(
+        table, records, clock, time, eras, view, writes_per_s, settings.vm, rng
+    )
 
 
 def missing_endpoint_hold_s(settings: GatewaySettings) -> float:
--- a/verbenagrade/transport/gateway/tests/test_version_machine.py
+++ b/verbenagrade/transport/gateway/tests/test_version_machine.py
@@ -34,10 +34,6 @@
 
 PREFILL_S = 0.5
 STREAM_S = 6.0
-MAX_CUT_OFF_S = STREAM_LIFE_S / 2
-"""Longest time in seconds for which a VM does not hear of a new default. The design
-note names what may happen beyond it."""
-
 MAX_TAKEN_UP = 8
 """Number of streams that are taken up at each VM after each step, the last ones."""
 
@@ -55,7 +51,9 @@
 class VersionMachine(RuleBasedStateMachine):
     """Three VMs, which are cut off, stand still or are replaced, as endpoints are.
 
-    In a drill the store goes away and comes back from the last copy.
+    In a drill the store goes away and comes back from the last copy. The entries of
+    endpoints also lapse while they serve; ``lapsed`` has those endpoints, which are
+    reached by the VMs that have not heard of it.
     """
 
     def __init__(self) -> None:
@@ -66,8 +64,8 @@
         self.started = len(self.fleet.entries)
         self.calls = 0
         self.callers: list[Caller] = []
+        self.lapsed: list[EndpointEntry] = []
         self.streams: set[asyncio.Task[None]] = set()
-        self.outdated_since: dict[Vm, float] = {}
         self.run(self.start())
 
     def run(self, work) -> None:
@@ -124,25 +122,37 @@
             e for e in self.fleet.entries if e.software_version != version
         ]
 
+    @rule(version=VERSIONS)
+    def lapse(self, version) -> None:
+        """Removes the entries of endpoints that go on serving."""
+        entries = self.fleet.entries
+        self.lapsed += [e for e in entries if e.software_version == version]
+        self.fleet.entries = [e for e in entries if e.software_version != version]
+
+    @rule()
+    def come_back_to_the_store(self) -> None:
+        """Has the endpoints whose entries have lapsed register again."""
+        self.fleet.entries = [*self.fleet.entries, *self.lapsed]
+        self.lapsed = []
+
+    def serves(self, entry: EndpointEntry) -> bool:
+        return entry in self.fleet.entries or entry in self.lapsed
+
     @rule(number=VMS)
     def cut_off(self, number) -> None:
         vm = self.fleet.vms[number]
         if not vm.outdated:
             vm.cut_off()
-            self.outdated_since[vm] = self.fleet.clock()
 
     @rule(number=VMS)
     def stand_still(self, number) -> None:
         vm = self.fleet.vms[number]
         if not vm.outdated:
             vm.stand_still()
-            self.outdated_since[vm] = self.fleet.clock()
 
     @rule(number=VMS)
     def recover(self, number) -> None:
-        vm = self.fleet.vms[number]
-        vm.recover()
-        self.outdated_since.pop(vm, None)
+        self.fleet.vms[number].recover()
 
     @rule()
     def take_copy(self) -> None:
@@ -165,28 +175,20 @@
     def replace_vms(self, numbers, ready) -> None:
         """Kills VMs and starts others, which serve before or after they have read."""
         for number in numbers:
-            self.outdated_since.pop(self.fleet.vms[number], None)
-            vm = self.fleet.start_vm()
+            vm = self.fleet.start_vm(self.fleet.vms[number].name)
             self.fleet.vms.remove(vm)
             self.fleet.vms[number] = vm
             if ready:
                 vm.follow()
 
-    @rule(seconds=st.sampled_from((0.2, 1.0, 3.0, 10.0, 30.0)))
+    @rule(seconds=st.sampled_from((0.2, 1.0, 3.0, 10.0, 30.0, 60.0)))
     def pass_time(self, seconds) -> None:
         self.run(self._pass_time(seconds))
 
     async def _pass_time(self, seconds: float) -> None:
         ends_at = self.fleet.clock() + seconds
         while (now := self.fleet.clock()) < ends_at:
-            for vm, since in tuple(self.outdated_since.items()):
-                if now - since >= MAX_CUT_OFF_S - 1.0:
-                    vm.recover()
-                    del self.outdated_since[vm]
-            for vm in self.fleet.vms:
-                if not vm.still:
-                    await vm.maintain()
-            self.fleet.follow()
+            await self.fleet.maintain()
             await asyncio.sleep(min(1.0, ends_at - now))
 
     @rule(number=VMS, cut_meanwhile=st.booleans())
@@ -197,7 +199,7 @@
         served = {
             entry.software_version: entry
             for entry in candidates(core, call, progress)
-            if entry in self.fleet.entries
+            if self.serves(entry)
         }
         self.run(self._begin_all(vm, served.values(), cut_meanwhile))
 
@@ -229,6 +231,16 @@
         await asyncio.sleep(STREAM_S)
         end_record(progress)
 
+    @rule(number=VMS, version=VERSIONS, seconds=st.sampled_from((3.0, 30.0, 60.0)))
+    def release_beside_a_cut(self, number, version, seconds) -> None:
+        """Has a VM begin streams that does not hear that only this version is left."""
+        self.cut_off(number)
+        for earlier in {entry.software_version for entry in self.fleet.entries}:
+            self.lapse(earlier)
+        self.add_endpoint(version)
+        self.pass_time(seconds)
+        self.begin(number, cut_meanwhile=False)
+
     @rule()
     def take_up_standing_still(self) -> None:
         self.take_up_all(stands_still=True)
@@ -257,7 +269,7 @@
         chosen = {
             entry.software_version
             for entry in candidates(core, call, progress)
-            if entry in self.fleet.entries
+            if self.serves(entry)
         }
         assert chosen <= {caller.version}
 
--- a/verbenagrade/transport/gateway/upkeep.py
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -52,7 +52,8 @@
     while True:
         await asyncio.sleep(MAINTENANCE_INTERVAL_S * core.random.uniform(0.8, 1.2))
         try:
-            await core.fleet.announce(_restored_era(core))
+            heard = core.versions.defaults.to_tell()
+            await core.fleet.announce(_restored_era(core), heard)
             await core.fleet.write_reports()
             await core.limits.write()
             await core.relay_keys.write()
--- a/verbenagrade/transport/gateway/versions.py
+++ b/verbenagrade/transport/gateway/versions.py
@@ -112,6 +112,7 @@
         await _wait_for_record(core, call, progress, entry)
     progress.stream_version = entry.software_version
     begun = BegunStream(
+        service=call.service,
         version=entry.software_version,
         number=max(1, progress.records),
         at=core.clock(),
