Replace a default version only when its endpoints are proven gone

Cause: entries lapse while the store is away and are back one by one within 2 s of its return. Endpoints whose entry is missing are ready only if there are no others, and a default was replaced as soon as no ready endpoint had its version. So the first entry that was back counted as proof that the others were gone.

Evidence: the logs show the return, the three removals, the entry of v2, the default v2 0.7 s later and the entries of v1 0.9 s after that. Ruled out: lost records (none was due, no change of the era), a store that did not respond to those who took streams up (no event 225), outdated entries.

Why the fix works: a VM replaces a default only after it has been in touch with the store for 3 s without a break and has seen no endpoint of it. Each return of the store, each entry of the version, and each time in which the process stood still begin that anew, also if the VM has not noticed the outage or has started since. A real change comes 3 s later and costs no further call.

Tests that replaced a default in one round now wait for REPLACED_S; what they check is the same.

--- a/verbenagrade/coordination/default_rows.py
+++ b/verbenagrade/coordination/default_rows.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "DefaultRow",
+    "DefaultUpdate",
     "LocalTimes",
     "decode_default",
     "default_key",
@@ -31,6 +32,14 @@
     confirmed_s: Seconds | msgspec.UnsetType | None = msgspec.UNSET
 
 
+@dataclass(frozen=True, slots=True)
+class DefaultUpdate:
+    """A default whose row has to be written, and the reason for it."""
+
+    default: DefaultVersion
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class LocalTimes:
     """The time on a VM's clock, and how the store's clock differs, in seconds.
--- a/verbenagrade/coordination/default_versions.py
+++ b/verbenagrade/coordination/default_versions.py
@@ -1,7 +1,8 @@
 """Keeps the default software version of each service the same on all VMs.
 
 The row ``software/SERVICE`` of the fleet's table has the default version of a service.
-It is replaced only when no endpoint of that version is left. A VM keeps the newest row
+It is replaced only when no endpoint of that version is left; entries that may have
+lapsed and come back are no proof of that. A VM keeps the newest row
 that it has seen, whichever way that came. The row also tells since when all VMs know
 the default; one of them adds that once the others have confirmed it.
 """
@@ -14,6 +15,7 @@
 from verbenagrade.coordination.default_confirmations import DefaultConfirmations
 from verbenagrade.coordination.default_rows import (
     DefaultRow,
+    DefaultUpdate,
     LocalTimes,
     decode_default,
     default_key,
@@ -38,6 +40,7 @@
     HeardDefaults,
     most_common_version,
 )
+from verbenagrade.state.version_absences import Absence, next_absence
 
 __all__ = ["DefaultVersions", "ServiceView"]
 
@@ -59,21 +62,14 @@
 MAX_LOGGED_VMS = 10
 
 
-@dataclass(frozen=True, slots=True)
-class DefaultUpdate:
-    """A default whose row has to be written, and the reason for it."""
-
-    default: DefaultVersion
-    reason: str
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceView:
     """What versions depend on.
 
     ``entries`` returns the known endpoints of a service, ``ready`` those that take new
     calls, and ``stream_life_s`` the longest time in which callers take streams up, in
-    seconds. ``directory_age_s`` tells how outdated the endpoints may be.
+    seconds. ``directory_age_s`` tells how outdated the endpoints may be, and
+    ``store_returned_at`` when the store last responded again, in seconds.
     """
 
     entries: Callable[[str], Iterable[EndpointEntry]]
@@ -81,6 +77,7 @@
     stream_life_s: Callable[[], float]
     directory_age_s: Callable[[], float]
     vm_count: Callable[[], int]
+    store_returned_at: Callable[[], float]
 
 
 class DefaultVersions:
@@ -92,7 +89,7 @@
     knew no default. ``heard_at`` is when the feed of the table last brought a response,
     in seconds. ``before_loss`` has the defaults known when the store came back from an
     older copy, and ``logged_rows`` the versions of the rows that were logged as not
-    confirmed.
+    confirmed. ``absences`` has the defaults of which no endpoint is listed now.
     """
 
     def __init__(
@@ -114,6 +111,7 @@
         self.confirmations = DefaultConfirmations(vm, eras, rng)
         self.before_loss: dict[str, DefaultVersion] = {}
         self.logged_rows: dict[str, int] = {}
+        self.absences: dict[str, Absence] = {}
         self.known: dict[str, DefaultVersion] = {}
         self.row_versions: dict[str, int] = {}
         self.unreadable: set[str] = set()
@@ -173,6 +171,7 @@
         Raises ``PlatformError`` if the store does not respond.
         """
         self.watch(service)
+        self.look(service)
         update = self._next_update(service, self.clock())
         if update is not None and self._is_writer():
             await self._write(service, update)
@@ -183,6 +182,30 @@
             versions = {entry.software_version for entry in self.view.entries(service)}
             self.seen.setdefault(service, set()).update(versions)
 
+    def look(self, service: str) -> None:
+        """Takes notice of whether endpoints of the default are listed.
+
+        Has to be called more often than each ``MAX_LOOK_INTERVAL_S``.
+        """
+        default, now = self.known.get(service), self.clock()
+        listed = {entry.software_version for entry in self.view.ready(service)}
+        in_touch = self.view.directory_age_s() <= MAX_ENDPOINTS_AGE_S
+        if default is None or not listed or default.version in listed or not in_touch:
+            self.absences.pop(service, None)
+            return
+        previous = self.absences.get(service)
+        returned_at = self.view.store_returned_at()
+        self.absences[service] = next_absence(previous, returned_at, now)
+        if previous is None:
+            log_event(
+                Event.DEFAULT_VERSION_KEPT,
+                service=service,
+                version=default.version,
+                listed=sorted(listed),
+                endpoints_age_s=round(self.view.directory_age_s(), 3),
+                store_back_for_s=_age_s(returned_at, now),
+            )
+
     def _is_writer(self) -> bool:
         return self.random.random() * self.view.vm_count() < EXPECTED_WRITERS
 
@@ -198,7 +221,8 @@
             return None
         if default is None:
             return self._first(service, most_common_version(ready), now)
-        if all(entry.software_version != default.version for entry in ready):
+        absence = self.absences.get(service)
+        if absence is not None and absence.proves_gone:
             replacement = DefaultVersion(most_common_version(ready), now, None)
             return DefaultUpdate(replacement, "no endpoint of the previous one is left")
         if service in self.unreadable:
@@ -283,6 +307,7 @@
         self, service: str, update: DefaultUpdate, previous: DefaultVersion | None
     ) -> None:
         """Logs why this VM wrote a default, and the age of what it decided by."""
+        absence = self.absences.get(service)
         log_event(
             Event.DEFAULT_VERSION_WRITTEN,
             service=service,
@@ -290,6 +315,7 @@
             previous=previous.version if previous is not None else None,
             reason=update.reason,
             waited_s=round(self.clock() - update.default.since, 3),
+            absent_s=round(absence.lasted_s, 3) if absence is not None else None,
             endpoints_age_s=round(self.view.directory_age_s(), 3),
             defaults_age_s=_age_s(self.heard_at, self.clock()),
         )
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -115,6 +115,11 @@
         )
         return record_need(known, version, now, self.view.stream_life_s())
 
+    def look(self, services: Iterable[str]) -> None:
+        """Takes notice of which versions have endpoints."""
+        for service in services:
+            self.defaults.look(service)
+
     def may_record(self) -> bool:
         """Returns whether the store takes another record of this VM now."""
         rate_per_s = (
--- a/verbenagrade/coordination/tests/test_odd_rows.py
+++ b/verbenagrade/coordination/tests/test_odd_rows.py
@@ -135,6 +135,7 @@
             lambda: 24.0,
             lambda: 0.0,
             lambda: 2,
+            lambda: 0.0,
         )
         self.versions = StreamVersions(
             table, records, clock, time, eras, view, 100.0, "front-1", rng
--- a/verbenagrade/coordination/tests/version_fleet.py
+++ b/verbenagrade/coordination/tests/version_fleet.py
@@ -25,6 +25,13 @@
 
 STREAM_LIFE_S = 24.0
 STORE_CLOCK_S = 5000.0
+REPLACED_S = 5.0
+"""Time in seconds in which VMs replace a default whose endpoints are gone: that which
+proves it, and the rounds before and after."""
+
+SETTLING_S = 3.0
+"""Time in seconds in which all VMs confirm a default, a round each and one to tell."""
+
 SERVICE = "pool"
 DEFAULT_KEY = f"fleet//software/{SERVICE}"
 
@@ -147,6 +154,8 @@
         self.cut_off_at: float | None = None
         self.still = False
         self.known_entries: list[EndpointEntry] = []
+        self.returned_at = float("-inf")
+        self.away = False
         self.eras = StoreEras(fleet.clock)
         self.store_time_offset_s: float | None = STORE_CLOCK_S
         time = StoreTime(lambda: self.store_time_offset_s, lambda _time_s: None)
@@ -164,6 +173,7 @@
             stream_life_s=lambda: fleet.stream_life_s,
             directory_age_s=self.age_s,
             vm_count=lambda: 1,
+            store_returned_at=lambda: self.returned_at,
         )
         self.versions = StreamVersions(
             table, self.records, fleet.clock, time, self.eras, view, 800, self.name, rng
@@ -201,8 +211,12 @@
 
     def follow(self, complete=False, removed=()) -> None:
         store = self.fleet.store
+        if self.cut_off_at is not None or store.down:
+            self.away = True
         if self.outdated or store.down:
             return
+        if self.away:
+            self.away, self.returned_at = False, self.fleet.clock()
         earlier = self.eras.current
         restored = earlier not in (None, store.era)
         self.eras.observe(EraMark(store.era), earlier)
--- a/verbenagrade/events/catalogue.py
+++ b/verbenagrade/events/catalogue.py
@@ -99,6 +99,11 @@
         logbook.WARNING,
         "VMs have not confirmed a default software version",
     )
+    DEFAULT_VERSION_KEPT = (
+        244,
+        logbook.INFO,
+        "default software version kept though no endpoint of it is listed",
+    )
     HOLDER_CHOSEN = (300, logbook.DEBUG, "holder chosen")
     GRANT_ADJUSTED = (301, logbook.INFO, "grant adjusted")
     GRANT_DELAYED = (302, logbook.WARNING, "grant not adjusted; platform unavailable")
--- a/verbenagrade/transport/gateway/assembly.py
+++ b/verbenagrade/transport/gateway/assembly.py
@@ -127,6 +127,7 @@
         stream_life_s=lambda: core().stream_life_s,
         directory_age_s=lambda: core().directory_freshness.staleness_s(clock()),
         vm_count=vm_count,
+        store_returned_at=lambda: core().directory.outage_ended,
     )
     rng = random.Random(seed)
     records = StreamRecords(table, clock, time, eras, rng, vm_count)
--- a/verbenagrade/transport/gateway/upkeep.py
+++ b/verbenagrade/transport/gateway/upkeep.py
@@ -38,9 +38,13 @@
 
 
 async def expire_endpoints(core: GatewayCore) -> None:
-    """Removes endpoints whose entries did not reappear in time."""
+    """Removes endpoints whose entries did not reappear in time.
+
+    Takes notice of which software versions have endpoints, too.
+    """
     while True:
         await asyncio.sleep(EXPIRY_INTERVAL_S)
+        core.versions.look(_services_with_resumable_streams(core))
         change = core.directory.expire(core.clock())
         core.placement.forget(change.ended)
         for name in change.ended:
