Keep optional records within their part of the store's writes

Since a default waits for the confirmation of all VMs, all streams of a service may be recorded for minutes, beside a VM that is lost for good, where it was 24 s before.

A stream at the default now begins without a record of its own while no more are allowed, and without waiting for one. Streams at other versions are recorded as before.

--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -133,6 +133,16 @@
         self.allowance_at = now
         return not self.records.away and self.allowance >= 1.0
 
+    def puts_off(self, service: str, version: str) -> bool:
+        """Returns whether an optional record of a stream that begins now has to wait.
+
+        That holds at the default while the store takes no more records of this VM. If
+        the default is not settled, ``record_running`` writes the record later.
+        """
+        default = self.defaults.known.get(service)
+        is_default = default is not None and default.version == version
+        return is_default and not self.may_record()
+
     async def record(self, call_id: str, number: int, version: str) -> int:
         """Records the version of a call's attempt; returns once that is certain.
 
--- a/verbenagrade/transport/gateway/versions.py
+++ b/verbenagrade/transport/gateway/versions.py
@@ -83,7 +83,10 @@
     if call.kind is not CallKind.RESUMABLE_STREAM or not begins:
         return
     need = core.versions.need(call.service, entry.software_version)
-    if need is RecordNeed.NONE and not progress.records:
+    put_off = need is RecordNeed.OPTIONAL and core.versions.puts_off(
+        call.service, entry.software_version
+    )
+    if (need is RecordNeed.NONE or put_off) and not progress.records:
         return
     end_record(progress)
     progress.version_required = need is RecordNeed.REQUIRED or progress.records > 0
