--- a/verbenagrade/coordination/default_confirmations.py
+++ b/verbenagrade/coordination/default_confirmations.py
@@ -3,8 +3,8 @@
 A VM that does not know that a default was replaced begins streams at the earlier one
 without a record, for as long as it can't reach the store. Its row in the fleet's table
 tells up to which version of that table it has read, and is written again after each
-change of a default. Until all VMs have confirmed a default so, a stream without a
-record is not taken for one of it.
+change of a default. Until all VMs have confirmed a default in this way, no stream
+without a record is taken for one of it.
 """
 
 import random
@@ -51,7 +51,7 @@
     def apply(self, changes: Changes) -> None:
         """Applies changes of the fleet's table.
 
-        A VM whose row a store has lost may run nevertheless, and stays known.
+        A VM whose row the store has lost may still run, and stays known.
         """
         if changes.complete and not changes.restored:
             self.heard = {}
--- a/verbenagrade/coordination/default_versions.py
+++ b/verbenagrade/coordination/default_versions.py
@@ -2,9 +2,9 @@
 
 The row ``software/SERVICE`` of the fleet's table has the default version of a service.
 It is replaced only when no endpoint of that version is left; entries that may have
-lapsed and come back are no proof of that. A VM keeps the newest row
-that it has seen, whichever way that came. The row also tells since when all VMs know
-the default; one of them adds that once the others have confirmed it.
+lapsed and come back are no proof of that. A VM keeps the newest row that it has seen,
+whichever way that came. The row also tells since when all VMs know the default; one of
+them adds that once the others have confirmed it.
 """
 
 import random
@@ -334,6 +334,7 @@
         times = LocalTimes(self.clock(), self.time.offset_s(), self.heard_at)
         default = self.known[service] = decode_default(content, known, times)
         if known is None or known.version != default.version:
+            self.absences.pop(service, None)
             log_event(
                 Event.DEFAULT_VERSION_CHANGED,
                 service=service,
--- a/verbenagrade/coordination/stream_versions.py
+++ b/verbenagrade/coordination/stream_versions.py
@@ -161,8 +161,7 @@
             self.to_record.set()
 
     async def record_running(self) -> int:
-        """Records the streams of this VM without which other VMs can't tell where they
-        began.
+        """Records running streams, so that other VMs can tell where they began.
 
         Those for which the store takes no more records now are left for the next time.
         Returns the number of streams that were recorded.
--- a/verbenagrade/coordination/tests/test_default_replacement.py
+++ b/verbenagrade/coordination/tests/test_default_replacement.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from verbenagrade.coordination.ports import Write
 from verbenagrade.coordination.tests.version_fleet import (
     DEFAULT_KEY,
     REPLACED_S,
     SERVICE,
+    STORE_CLOCK_S,
     play,
 )
 from verbenagrade.state.directory import REREGISTRATION_S
@@ -104,6 +107,20 @@
     play(scenario)
 
 
+# Guards against the absence of an earlier default that counts against the next one.
+def test_new_default_is_not_replaced_because_the_one_before_was_gone():
+    async def scenario(fleet, first, second):
+        fleet.serve("v2")
+        await work(fleet, REREGISTRATION_S)
+        content = {"version": "v3", "since_s": fleet.clock() + STORE_CLOCK_S}
+        fleet.store.write((Write(DEFAULT_KEY, msgspec.json.encode(content)),))
+        fleet.follow()
+        await work(fleet, REREGISTRATION_S - STEP_S)
+        assert first.versions.defaults.known[SERVICE].version == "v3"
+
+    play(scenario)
+
+
 # Guards against a default that never changes, so that each stream costs a record.
 @pytest.mark.parametrize("round_s", [0.4, 1.2, 4.0])
 @pytest.mark.parametrize("after_outage", [False, True])
