--- a/verbenagrade/platform/tests/crowds/gateway.py
+++ b/verbenagrade/platform/tests/crowds/gateway.py
@@ -19,7 +19,7 @@
     START_S,
     Observer,
     Process,
-    free_port,
+    free_ports,
     own_host,
 )
 from verbenagrade.platform.tests.endpoint_standin import EndpointStandIn
@@ -72,7 +72,8 @@
         if configured:
             self.configure()
         names = ("callers", "ready", "metrics", "relay", "reservations")
-        self.ports = {name: free_port(self.host) for name in names}
+        ports = free_ports(self.host, len(names))
+        self.ports = dict(zip(names, ports, strict=True))
         settings = self.folder / "gateway.json5"
         settings.write_text(json.dumps(self._settings()))
         module = "verbenagrade.commands.gateway"
--- a/verbenagrade/platform/tests/crowds/processes.py
+++ b/verbenagrade/platform/tests/crowds/processes.py
@@ -1,6 +1,7 @@
 """Runs a program as a process and reads its memory and descriptors from /proc."""
 
 import asyncio
+import contextlib
 import itertools
 import os
 import resource
@@ -32,11 +33,13 @@
     return f"{network}.{next(_hosts) % 250 + 1}"
 
 
-def free_port(ip: str) -> int:
-    """Returns a port on which nothing listens."""
-    with socket.socket() as listener:
-        listener.bind((ip, 0))
-        return listener.getsockname()[1]
+def free_ports(ip: str, count: int) -> list[int]:
+    """Returns different ports on which nothing listens."""
+    with contextlib.ExitStack() as stack:
+        listeners = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for listener in listeners:
+            listener.bind((ip, 0))
+        return [listener.getsockname()[1] for listener in listeners]
 
 
 def resident_bytes(pid: int) -> int:
--- a/verbenagrade/platform/tests/crowds/test_routers.py
+++ b/verbenagrade/platform/tests/crowds/test_routers.py
@@ -15,7 +15,7 @@
     POLL_S,
     Observer,
     Process,
-    free_port,
+    free_ports,
     own_host,
 )
 
@@ -78,10 +78,8 @@
         assert self.observer.descriptors <= DESCRIPTORS - RESERVED_DESCRIPTORS
 
     def _settings(self, program: str) -> dict:
-        self.ports = {
-            "callers": free_port(self.host),
-            "peers": free_port(self.host),
-        }
+        callers, peers = free_ports(self.host, 2)
+        self.ports = {"callers": callers, "peers": peers}
         settings = {
             "vm": "vm-1",
             "data_centre": "muscat-a",
